--- /dev/null
+++ b/connection/peerlink/doc.go
@@ -0,0 +1,2 @@
+// Package peerlink keeps the links between nodes.
+package peerlink
--- /dev/null
+++ b/connection/peerlink/options.go
@@ -0,0 +1,151 @@
+package peerlink
+
+import (
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"verbenatrestle/connection/wire"
+)
+
+// MinKeyBytes is the least length of the shared peer key.
+const MinKeyBytes = 16
+
+// Handler is told what happens on the links. Calls about one peer come one at
+// a time and in order, from a goroutine of that peer. A call may block: further
+// messages of that peer then wait in a bounded queue, and what exceeds it is
+// dropped and counted.
+type Handler interface {
+	// HandleMessage is called with a pointer to a registered message type.
+	HandleMessage(from string, message any)
+	// LinkUp is called when a link to the peer is open.
+	LinkUp(peer string)
+	// LinkDown is called when an open link has closed, and when a dial has
+	// failed. The error is nil when the link closed because it was idle.
+	LinkDown(peer string, err error)
+}
+
+// Options are the settings of Links. Self, Key, Codec, Handler and Resolve are
+// required.
+type Options struct {
+	// Self is this node's name.
+	Self string
+	// ListenAddress is IP:port of the peer listener.
+	ListenAddress string
+	// Key is the peer key that all nodes share, at least MinKeyBytes long.
+	Key []byte
+	// Codec knows every message type that may be sent or received.
+	Codec *wire.Codec
+	// Handler is told of messages and links.
+	Handler Handler
+	// Logger takes JSON lines; nil logs nothing.
+	Logger log.Logger
+	// Metrics takes the counters; nil keeps them unregistered.
+	Metrics metrics.Registry
+	// Resolve returns the peer address, IP:port, of a node.
+	Resolve func(node string) (address string, ok bool)
+	// Limits bound memory and time; zero fields take their defaults.
+	Limits Limits
+}
+
+// Limits bound what the links may hold and how long they may wait.
+type Limits struct {
+	// MaxMessageBytes is the largest message, encoded, in bytes.
+	MaxMessageBytes int
+	// QueueMessages is how many messages may wait for one peer.
+	QueueMessages int
+	// QueueBytes is how many encoded bytes may wait for one peer.
+	QueueBytes int
+	// InboxMessages is how many received messages of one peer may wait for
+	// the handler.
+	InboxMessages int
+	// InboxBytes is how many encoded bytes of one peer's received messages may
+	// wait for the handler.
+	InboxBytes int
+	// MaxPending is how many accepted connections may be in their handshake.
+	MaxPending int
+	// MaxNonces is how many handshake nonces are remembered.
+	MaxNonces int
+	// HandshakeTimeout bounds a dial and an accepted connection's handshake.
+	HandshakeTimeout time.Duration
+	// ClockWindow is how far a dialler's clock may be off in a handshake.
+	ClockWindow time.Duration
+	// PingInterval is how often a silent link is pinged.
+	PingInterval time.Duration
+	// SilenceTimeout is how long a peer may be silent before the link is down.
+	SilenceTimeout time.Duration
+	// IdleTimeout is how long a link without messages stays open.
+	IdleTimeout time.Duration
+	// RedialMin and RedialMax bound the growing pause after a failed dial.
+	RedialMin, RedialMax time.Duration
+}
+
+// DefaultLimits returns the limits that zero fields take.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxMessageBytes:  2 << 20,
+		QueueMessages:    1024,
+		QueueBytes:       4 << 20,
+		InboxMessages:    1024,
+		InboxBytes:       4 << 20,
+		MaxPending:       256,
+		MaxNonces:        1 << 16,
+		HandshakeTimeout: 3 * time.Second,
+		ClockWindow:      30 * time.Second,
+		PingInterval:     time.Second,
+		SilenceTimeout:   3 * time.Second,
+		IdleTimeout:      time.Minute,
+		RedialMin:        100 * time.Millisecond,
+		RedialMax:        5 * time.Second,
+	}
+}
+
+// withDefaults returns the limits with zero fields set to their defaults.
+func (l Limits) withDefaults() Limits {
+	d := DefaultLimits()
+	setDefault(&l.MaxMessageBytes, d.MaxMessageBytes)
+	setDefault(&l.QueueMessages, d.QueueMessages)
+	setDefault(&l.QueueBytes, d.QueueBytes)
+	setDefault(&l.InboxMessages, d.InboxMessages)
+	setDefault(&l.InboxBytes, d.InboxBytes)
+	setDefault(&l.MaxPending, d.MaxPending)
+	setDefault(&l.MaxNonces, d.MaxNonces)
+	setDefault(&l.HandshakeTimeout, d.HandshakeTimeout)
+	setDefault(&l.ClockWindow, d.ClockWindow)
+	setDefault(&l.PingInterval, d.PingInterval)
+	setDefault(&l.SilenceTimeout, d.SilenceTimeout)
+	setDefault(&l.IdleTimeout, d.IdleTimeout)
+	setDefault(&l.RedialMin, d.RedialMin)
+	setDefault(&l.RedialMax, d.RedialMax)
+	return l
+}
+
+// setDefault sets *value to fallback when it is zero.
+func setDefault[T int | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// check reports the first option that can't be used.
+func (o Options) check() error {
+	switch {
+	case o.Self == "":
+		return errors.New("peer links: no name of this node")
+	case len(o.Key) < MinKeyBytes:
+		return errors.Errorf("peer links: key has %d bytes, needs %d", len(o.Key), MinKeyBytes)
+	case o.Codec == nil, o.Handler == nil, o.Resolve == nil:
+		return errors.New("peer links: codec, handler and resolver are required")
+	}
+	host, _, err := net.SplitHostPort(o.ListenAddress)
+	if err != nil {
+		return errors.Wrapf(err, "peer links: listen address %q", o.ListenAddress)
+	}
+	if net.ParseIP(host) == nil {
+		return errors.Errorf("peer links: listen address %q is not an IP number", o.ListenAddress)
+	}
+	return nil
+}
