--- /dev/null
+++ b/process/platform/counts.go
@@ -0,0 +1,68 @@
+package platform
+
+import (
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// kind is a kind of call.
+type kind int
+
+const (
+	kindGet kind = iota
+	kindList
+	kindPut
+	kindDelete
+	kindWatch
+	kindCount
+)
+
+var kindNames = [kindCount]string{"get", "list", "put", "delete", "watch"}
+
+// counts holds the counters of a client.
+type counts struct {
+	calls       [kindCount]metrics.Counter
+	notFound    metrics.Counter
+	conflict    metrics.Counter
+	rateLimited metrics.Counter
+	unknown     metrics.Counter
+	unavailable metrics.Counter
+}
+
+func newCounts(registry metrics.Registry) counts {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("platform."+name, registry)
+	}
+	c := counts{
+		notFound:    counter("errors.not-found"),
+		conflict:    counter("errors.conflict"),
+		rateLimited: counter("errors.rate-limited"),
+		unknown:     counter("errors.unknown"),
+		unavailable: counter("errors.unavailable"),
+	}
+	for i, name := range kindNames {
+		c.calls[i] = counter("calls." + name)
+	}
+	return c
+}
+
+func (c *counts) called(k kind) {
+	c.calls[k].Inc(1)
+}
+
+func (c *counts) failed(err error) {
+	var conflict *ConflictError
+	var limited *RateLimitedError
+	switch {
+	case errors.As(err, &conflict):
+		c.conflict.Inc(1)
+	case errors.As(err, &limited):
+		c.rateLimited.Inc(1)
+	case errors.Is(err, ErrNotFound):
+		c.notFound.Inc(1)
+	case errors.Is(err, ErrUnknownAnswer):
+		c.unknown.Inc(1)
+	default:
+		c.unavailable.Inc(1)
+	}
+}
