--- /dev/null
+++ b/process/ownership/timing/timing.go
@@ -0,0 +1,67 @@
+// Package timing holds the clock readings and the durations on which leases,
+// witnesses and key times are judged.
+package timing
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Clock is one reading of both clocks of a process.
+type Clock struct {
+	// Mono is the time since an arbitrary point in the life of the process.
+	// It never goes back and also counts while the process is stopped.
+	Mono time.Duration
+	// Wall is the wall-clock time.
+	Wall time.Time
+}
+
+// Defaults of Settings.
+const (
+	DefaultTerm          = 2 * time.Second
+	DefaultMarginPercent = 10
+	DefaultSkew          = 250 * time.Millisecond
+	DefaultResendWindow  = 10 * time.Minute
+)
+
+// Settings are the durations that all nodes of a deployment must share.
+type Settings struct {
+	// Term is how long a witness waits after its last acknowledgement before
+	// it acknowledges a higher tenure.
+	Term time.Duration
+	// MarginPercent is the part of the term, in percent, that an owner gives
+	// up to allow for clocks that run at different speeds.
+	MarginPercent int
+	// Skew bounds the difference between the wall clocks of any two nodes.
+	Skew time.Duration
+}
+
+// Defaults returns the default settings.
+func Defaults() Settings {
+	return Settings{Term: DefaultTerm, MarginPercent: DefaultMarginPercent, Skew: DefaultSkew}
+}
+
+// Validate reports settings under which leases can't work.
+func (s Settings) Validate() error {
+	if s.Term <= 0 {
+		return errors.Errorf("check lease settings: term %v is not positive", s.Term)
+	}
+	if s.MarginPercent < 1 || s.MarginPercent > 50 {
+		return errors.Errorf("check lease settings: margin of %d%% is outside 1..50%%", s.MarginPercent)
+	}
+	if s.Skew < 0 {
+		return errors.Errorf("check lease settings: skew %v is negative", s.Skew)
+	}
+	return nil
+}
+
+// Lease is how long an acknowledged beat counts from the moment it was sent.
+func (s Settings) Lease() time.Duration {
+	return s.Term * time.Duration(100-s.MarginPercent) / 100
+}
+
+// BeatPeriod is the time between two beats of an owner.
+func (s Settings) BeatPeriod() time.Duration {
+	return s.Term / 3
+}
