Add request budgets, balancing, quarantine and the admission guard

Ruled out: golang.org/x/time/rate for the budgets. It takes a time that steps back as its new reference and then grants the same span again, so callers that read the clock out of order would exceed the budget. A bucket of our own never moves its reference back, and can be filled by successes too.

--- /dev/null
+++ b/process/admission/limit/fixed.go
@@ -0,0 +1,14 @@
+package limit
+
+// fixed always is the ceiling.
+type fixed struct {
+	bounded
+}
+
+func newFixed(b Bounds) Limit { return &fixed{newBounded(b)} }
+
+// Name implements Limit.
+func (*fixed) Name() string { return "fixed" }
+
+// Observe implements Limit.
+func (*fixed) Observe(Observation) {}
--- /dev/null
+++ b/process/admission/times.go
@@ -0,0 +1,43 @@
+package admission
+
+import (
+	"time"
+
+	"verbenatrestle/process/admission/limit"
+)
+
+// sumOfTimes is the sum of the begin times of what runs, in seconds since base.
+type sumOfTimes struct {
+	base time.Time
+	sum  float64
+}
+
+// add takes in a begin time beside count others.
+func (s *sumOfTimes) add(began time.Time, count int) {
+	if count == 0 {
+		s.base = began
+		s.sum = 0
+	}
+	s.sum += began.Sub(s.base).Seconds()
+}
+
+func (s *sumOfTimes) remove(began time.Time) {
+	s.sum -= began.Sub(s.base).Seconds()
+}
+
+// meanAge returns how long count requests have run on average.
+func (s *sumOfTimes) meanAge(count int, now time.Time) time.Duration {
+	if count == 0 {
+		return 0
+	}
+	mean := now.Sub(s.base).Seconds() - s.sum/float64(count)
+	return max(time.Duration(mean*float64(time.Second)), 0)
+}
+
+func observation(ended run, dropped bool, now time.Time) limit.Observation {
+	return limit.Observation{
+		Latency:  now.Sub(ended.began),
+		InFlight: ended.peers,
+		Dropped:  dropped,
+	}
+}
--- /dev/null
+++ b/request/balance/group.go
@@ -0,0 +1,150 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenatrestle/connection/load"
+)
+
+// group holds the endpoints of one service.
+type group struct {
+	mu         sync.Mutex
+	endpoints  []*endpoint // by node
+	turn       uint64
+	candidates []Candidate // reused from pick to pick
+	scratch    []int       // reused from pick to pick
+}
+
+func (g *group) setEndpoints(wanted []Endpoint, local Local) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := make([]*endpoint, 0, len(wanted))
+	for _, w := range wanted {
+		e := g.find(w.Node)
+		if e == nil {
+			e = &endpoint{}
+		}
+		e.set(w, local)
+		next = append(next, e)
+	}
+	slices.SortFunc(next, func(a, b *endpoint) int { return compareNames(a.known.Node, b.known.Node) })
+	g.endpoints = next
+}
+
+func (g *group) observe(node string, sample load.Sample, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.find(node); e != nil {
+		e.observe(sample, now)
+	}
+}
+
+func (g *group) begin(node string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.find(node); e != nil {
+		e.begin(now)
+	}
+}
+
+func (g *group) end(node string, now time.Time, result Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.find(node); e != nil {
+		e.end(now, result)
+	}
+}
+
+func (g *group) pick(policy Policy, service string, exclude []string, now time.Time, rng *rand.Rand) (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gather(exclude, now)
+	if len(g.candidates) == 0 {
+		return "", false
+	}
+	g.turn++
+	choice := Choice{Service: service, Candidates: g.candidates, Turn: g.turn, Now: now, Rand: rng, scratch: g.scratch}
+	chosen := policy.Choose(&choice)
+	g.scratch = choice.scratch
+	return g.candidates[chosen].Node, true
+}
+
+// gather puts the endpoints that may be picked into g.candidates.
+func (g *group) gather(exclude []string, now time.Time) {
+	ignoreEjection := g.mostEjected(now)
+	usual := g.usualUtilisation(now)
+	g.candidates = g.candidates[:0]
+	for _, e := range g.endpoints {
+		if !e.usable(now) || slices.Contains(exclude, e.known.Node) {
+			continue
+		}
+		if e.ejected(now) && !ignoreEjection {
+			continue
+		}
+		g.candidates = append(g.candidates, e.candidate(now, usual))
+	}
+}
+
+// maxEjectedShare is the share of a service's usable endpoints above which
+// ejection is ignored.
+const maxEjectedShare = 0.5
+
+func (g *group) mostEjected(now time.Time) bool {
+	usable, ejected := 0, 0
+	for _, e := range g.endpoints {
+		if !e.usable(now) {
+			continue
+		}
+		usable++
+		if e.ejected(now) {
+			ejected++
+		}
+	}
+	return float64(ejected) > maxEjectedShare*float64(usable)
+}
+
+// usualUtilisation returns the utilisation of the service by its samples, the
+// fresher the weightier. It stands for endpoints whose own sample is old.
+func (g *group) usualUtilisation(now time.Time) float64 {
+	sum, weights := 0.0, 0.0
+	for _, e := range g.endpoints {
+		if !e.sampled || !e.usable(now) || e.sample.Limit <= 0 {
+			continue
+		}
+		weight := e.freshness(now) + leastFreshness
+		sum += weight * float64(e.sample.InFlight) / float64(e.sample.Limit)
+		weights += weight
+	}
+	if weights == 0 {
+		return 0
+	}
+	return sum / weights
+}
+
+func (g *group) find(node string) *endpoint {
+	for _, e := range g.endpoints {
+		if e.known.Node == node {
+			return e
+		}
+	}
+	return nil
+}
+
+func (g *group) snapshot(now time.Time) []EndpointView {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	views := make([]EndpointView, 0, len(g.endpoints))
+	usual := g.usualUtilisation(now)
+	for _, e := range g.endpoints {
+		views = append(views, e.view(now, usual))
+	}
+	return views
+}
+
+func compareNames(a, b string) int {
+	return strings.Compare(a, b)
+}
--- /dev/null
+++ b/request/balance/leastreported.go
@@ -0,0 +1,22 @@
+package balance
+
+// leastReported chooses the candidate whose latest sample shows the fewest
+// requests in flight, however old the sample is.
+type leastReported struct{}
+
+// Name implements Policy.
+func (leastReported) Name() string { return "leastreported" }
+
+// Choose implements Policy.
+func (leastReported) Choose(c *Choice) int {
+	n := len(c.Candidates)
+	first := c.Rand.IntN(n)
+	best := first
+	for i := 1; i < n; i++ {
+		next := (first + i) % n
+		if c.Candidates[next].Reported.InFlight < c.Candidates[best].Reported.InFlight {
+			best = next
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/request/balance/oracle.go
@@ -0,0 +1,52 @@
+package balance
+
+import "verbenatrestle/connection/load"
+
+// Truth returns the true load of the target beside a node. It returns false
+// if the target can't take work.
+type Truth func(service, node string) (load.Sample, bool)
+
+// oracle chooses by the true load of the targets. It exists for measurements:
+// no real node can know it.
+type oracle struct {
+	truth Truth
+}
+
+// NewOracle returns a policy that knows the true load.
+func NewOracle(truth Truth) Policy {
+	return oracle{truth: truth}
+}
+
+// Name implements Policy.
+func (oracle) Name() string { return "oracle" }
+
+// Choose implements Policy. It takes the target that has room and the
+// shortest expected wait, or the shortest expected wait of all.
+func (o oracle) Choose(c *Choice) int {
+	n := len(c.Candidates)
+	first := c.Rand.IntN(n)
+	best, bestScore := first, o.score(c, first)
+	for i := 1; i < n; i++ {
+		next := (first + i) % n
+		if score := o.score(c, next); score < bestScore {
+			best, bestScore = next, score
+		}
+	}
+	return best
+}
+
+// oracleFull is added to the score of a target without room, in seconds.
+const oracleFull = 1e6
+
+func (o oracle) score(c *Choice, i int) float64 {
+	sample, ok := o.truth(c.Service, c.Candidates[i].Node)
+	if !ok {
+		return 2 * oracleFull
+	}
+	limit := max(float64(sample.Limit), 1)
+	score := sample.Latency.Seconds() * (float64(sample.InFlight) + 1) / limit
+	if sample.InFlight >= sample.Limit {
+		score += oracleFull
+	}
+	return score
+}
--- /dev/null
+++ b/request/balance/random.go
@@ -0,0 +1,12 @@
+package balance
+
+// random chooses every candidate with the same probability.
+type random struct{}
+
+// Name implements Policy.
+func (random) Name() string { return "random" }
+
+// Choose implements Policy.
+func (random) Choose(c *Choice) int {
+	return c.Rand.IntN(len(c.Candidates))
+}
--- /dev/null
+++ b/request/balance/roundrobin.go
@@ -0,0 +1,12 @@
+package balance
+
+// roundRobin chooses the candidates in turn.
+type roundRobin struct{}
+
+// Name implements Policy.
+func (roundRobin) Name() string { return "roundrobin" }
+
+// Choose implements Policy.
+func (roundRobin) Choose(c *Choice) int {
+	return int(c.Turn % uint64(len(c.Candidates)))
+}
--- /dev/null
+++ b/request/balance/scored.go
@@ -0,0 +1,120 @@
+package balance
+
+import "time"
+
+const (
+	// choices is how many candidates a scored policy compares.
+	choices = 3
+	// roomShare is the share of its limit up to which an endpoint has room.
+	// Above it, work spills to farther endpoints before any of it is refused.
+	roomShare = 0.75
+	// slowFactor is how many times the lowest latency of the service still
+	// counts as usual.
+	slowFactor = 2
+	// slowAllowance is added to that, so that tiny latencies don't count as slow.
+	slowAllowance = time.Millisecond
+	// failurePenalty is how many times worse a candidate that always fails
+	// scores. Quick failures keep few requests in flight, and so would look idle.
+	failurePenalty = 10
+)
+
+// scored is a policy that narrows the candidates to the nearest that have
+// room, draws a few of them and takes the lowest score.
+type scored struct {
+	name  string
+	score func(c *Candidate) float64
+}
+
+// Name implements Policy.
+func (p scored) Name() string { return p.name }
+
+// Choose implements Policy.
+func (p scored) Choose(c *Choice) int {
+	considered := c.thinCold()
+	considered = c.nearestWithRoom(considered)
+	c.draw(considered, choices)
+	drawn := considered[:min(choices, len(considered))]
+	best, bestScore := drawn[0], p.penalised(&c.Candidates[drawn[0]])
+	for _, i := range drawn[1:] {
+		if score := p.penalised(&c.Candidates[i]); score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+func (p scored) penalised(c *Candidate) float64 {
+	return p.score(c) * (1 + failurePenalty*c.FailureShare)
+}
+
+// thinCold returns the indices of the warm candidates, and each cold one with
+// a probability of its share of what all candidates bear. If that leaves
+// nothing, it returns all.
+func (c *Choice) thinCold() []int {
+	sum := 0.0
+	for i := range c.Candidates {
+		sum += c.Candidates[i].Limit
+	}
+	kept := c.scratch[:0]
+	for i := range c.Candidates {
+		candidate := &c.Candidates[i]
+		if !candidate.Cold || c.Rand.Float64()*sum < candidate.Limit {
+			kept = append(kept, i)
+		}
+	}
+	if len(kept) == 0 {
+		for i := range c.Candidates {
+			kept = append(kept, i)
+		}
+	}
+	c.scratch = kept
+	return kept
+}
+
+// nearestWithRoom narrows the considered candidates to those with room at the
+// shortest distance that has any. If none has room, it returns all.
+func (c *Choice) nearestWithRoom(considered []int) []int {
+	slow := c.slowBound(considered)
+	var withRoom [distanceCount]int
+	for _, i := range considered {
+		if c.Candidates[i].hasRoom(slow) {
+			withRoom[c.Candidates[i].Distance]++
+		}
+	}
+	nearest := Distance(0)
+	for nearest < distanceCount && withRoom[nearest] == 0 {
+		nearest++
+	}
+	if nearest == distanceCount {
+		return considered
+	}
+	kept := considered[:0]
+	for _, i := range considered {
+		candidate := &c.Candidates[i]
+		if candidate.Distance == nearest && candidate.hasRoom(slow) {
+			kept = append(kept, i)
+		}
+	}
+	return kept
+}
+
+// slowBound returns the latency above which a candidate is slow.
+func (c *Choice) slowBound(considered []int) time.Duration {
+	lowest := c.Candidates[considered[0]].Latency
+	for _, i := range considered[1:] {
+		lowest = min(lowest, c.Candidates[i].Latency)
+	}
+	return slowFactor*lowest + slowAllowance
+}
+
+func (c *Candidate) hasRoom(slow time.Duration) bool {
+	return c.InFlight+1 <= max(1, roomShare*c.Limit) && c.Latency <= slow && c.FailureShare < 0.5
+}
+
+// draw shuffles n random indices to the front.
+func (c *Choice) draw(indices []int, n int) {
+	for i := 0; i < n && i < len(indices)-1; i++ {
+		j := i + c.Rand.IntN(len(indices)-i)
+		indices[i], indices[j] = indices[j], indices[i]
+	}
+}
--- /dev/null
+++ b/request/limits.go
@@ -0,0 +1,175 @@
+package request
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ShareKey names whose requests are counted together.
+type ShareKey struct {
+	Organisation string `json:"organisation"`
+	Service      string `json:"service"`
+}
+
+// Limits bounds the requests of one ShareKey at one ingress. Zero means no bound.
+type Limits struct {
+	// MaxInFlight is how many requests may run at once.
+	MaxInFlight int `json:"max_in_flight"`
+	// RatePerSecond is how many requests may start a second.
+	RatePerSecond float64 `json:"rate_per_second"`
+	// Burst is how many unused starts are kept. At least 1 when there is a rate.
+	Burst int `json:"burst"`
+}
+
+// LimitReason tells which limit refused a request.
+type LimitReason string
+
+const (
+	// LimitInFlight means that too many requests run.
+	LimitInFlight LimitReason = "in-flight limit"
+	// LimitRate means that too many requests started.
+	LimitRate LimitReason = "rate limit"
+)
+
+// LimitRefusal is the error of a request over its limits. It was not run.
+type LimitRefusal struct {
+	Key    ShareKey
+	Reason LimitReason
+	// RetryAfter is how long it takes until the rate allows a request, or 0.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *LimitRefusal) Error() string {
+	return "limit " + r.Key.Organisation + "/" + r.Key.Service + ": " + string(r.Reason)
+}
+
+// limiterShards is how many locks the limiter has.
+const limiterShards = 32
+
+// Limiter holds the limits of every organisation and service at one ingress.
+type Limiter struct {
+	shards [limiterShards]limiterShard
+}
+
+type limiterShard struct {
+	mu     sync.Mutex
+	limits map[ShareKey]*limitState
+}
+
+type limitState struct {
+	limits   Limits
+	inFlight int
+	rate     bucket
+	retired  bool
+}
+
+// NewLimiter returns a limiter without limits.
+func NewLimiter() *Limiter {
+	l := &Limiter{}
+	for i := range l.shards {
+		l.shards[i].limits = make(map[ShareKey]*limitState)
+	}
+	return l
+}
+
+// Replace puts the limits of a configuration version in force. Requests in
+// flight stay counted. A rate that stays the same keeps its bucket.
+func (l *Limiter) Replace(limits map[ShareKey]Limits, now time.Time) {
+	for key, limit := range limits {
+		l.shard(key).set(key, limit, now)
+	}
+	for i := range l.shards {
+		l.shards[i].retire(limits)
+	}
+}
+
+// Acquire counts a request in, or refuses it. An admitted request must be
+// counted out by Release.
+func (l *Limiter) Acquire(key ShareKey, now time.Time) *LimitRefusal {
+	s := l.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.limits[key]
+	if state == nil {
+		state = &limitState{retired: true}
+		s.limits[key] = state
+	}
+	if state.limits.MaxInFlight > 0 && state.inFlight >= state.limits.MaxInFlight {
+		return &LimitRefusal{Key: key, Reason: LimitInFlight}
+	}
+	if state.limits.RatePerSecond > 0 && !state.rate.take(now, 1) {
+		return &LimitRefusal{Key: key, Reason: LimitRate, RetryAfter: state.rate.wait(1)}
+	}
+	state.inFlight++
+	return nil
+}
+
+// Release counts an admitted request out.
+func (l *Limiter) Release(key ShareKey) {
+	s := l.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.limits[key]
+	if state == nil || state.inFlight == 0 {
+		return
+	}
+	state.inFlight--
+	s.forget(key, state)
+}
+
+// InFlight returns how many requests of the key run.
+func (l *Limiter) InFlight(key ShareKey) int {
+	s := l.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state := s.limits[key]; state != nil {
+		return state.inFlight
+	}
+	return 0
+}
+
+func (l *Limiter) shard(key ShareKey) *limiterShard {
+	hash := xxhash.Sum64String(key.Organisation) ^ xxhash.Sum64String(key.Service)
+	return &l.shards[hash%limiterShards]
+}
+
+func (s *limiterShard) set(key ShareKey, limits Limits, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limits.RatePerSecond > 0 {
+		limits.Burst = max(limits.Burst, 1)
+	}
+	state := s.limits[key]
+	if state == nil {
+		state = &limitState{}
+		s.limits[key] = state
+	}
+	state.retired = false
+	if state.limits.RatePerSecond != limits.RatePerSecond || state.limits.Burst != limits.Burst {
+		state.rate = newBucket(float64(limits.Burst), limits.RatePerSecond, now)
+	}
+	state.limits = limits
+}
+
+// retire lifts the limits of keys that the new version doesn't name.
+func (s *limiterShard) retire(named map[ShareKey]Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, state := range s.limits {
+		if _, ok := named[key]; ok {
+			continue
+		}
+		state.limits = Limits{}
+		state.retired = true
+		s.forget(key, state)
+	}
+}
+
+func (s *limiterShard) forget(key ShareKey, state *limitState) {
+	if state.retired && state.inFlight == 0 {
+		delete(s.limits, key)
+	}
+}
--- /dev/null
+++ b/request/measuring.go
@@ -0,0 +1,107 @@
+package request
+
+import (
+	"sync"
+	"time"
+)
+
+// MeasuringPolicy bounds what a node spends on measuring the load of targets
+// by messages of their own, such as probes.
+type MeasuringPolicy struct {
+	// MessagesPerSecond and BurstMessages bound the messages.
+	MessagesPerSecond float64
+	BurstMessages     int
+	// BytesPerSecond and BurstBytes bound the bytes, with headers.
+	BytesPerSecond float64
+	BurstBytes     int
+	// CPUShare bounds the processor time charged, as a share of one core.
+	// Zero means no bound.
+	CPUShare float64
+}
+
+// DefaultMeasuringPolicy is at most 20 messages, 4 kB and 0.2% of a core a second.
+var DefaultMeasuringPolicy = MeasuringPolicy{
+	MessagesPerSecond: 20,
+	BurstMessages:     10,
+	BytesPerSecond:    4096,
+	BurstBytes:        4096,
+	CPUShare:          0.002,
+}
+
+// burstCPU is how much processor time is kept while none is spent.
+const burstCPU = 10 * time.Millisecond
+
+// MeasuringSpent tells what measuring has cost since the start.
+type MeasuringSpent struct {
+	// Messages and Bytes count what was allowed.
+	Messages int64 `json:"messages"`
+	Bytes    int64 `json:"bytes"`
+	// Denied counts the messages that the budget had no room for.
+	Denied int64 `json:"denied"`
+	// CPU is the processor time charged.
+	CPU time.Duration `json:"cpu"`
+}
+
+// MeasuringBudget bounds the cost of measuring in messages, bytes and
+// processor time. Over any time, what it allows is at most the rates times
+// that time plus the bursts. Processor time is known only after it was spent:
+// nothing is allowed until an overdraft is paid off.
+type MeasuringBudget struct {
+	mu       sync.Mutex
+	messages bucket
+	bytes    bucket
+	cpu      bucket
+	bounded  bool
+	spent    MeasuringSpent
+}
+
+// NewMeasuringBudget returns a full budget of one node.
+func NewMeasuringBudget(p MeasuringPolicy, now time.Time) *MeasuringBudget {
+	return &MeasuringBudget{
+		messages: newBucket(float64(p.BurstMessages), p.MessagesPerSecond, now),
+		bytes:    newBucket(float64(p.BurstBytes), p.BytesPerSecond, now),
+		cpu:      newBucket(burstCPU.Seconds(), p.CPUShare, now),
+		bounded:  p.CPUShare > 0,
+	}
+}
+
+// Allow spends one message of so many bytes, if the budget has them.
+func (b *MeasuringBudget) Allow(now time.Time, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.affords(now, float64(bytes)) {
+		b.spent.Denied++
+		return false
+	}
+	b.messages.take(now, 1)
+	b.bytes.take(now, float64(bytes))
+	b.spent.Messages++
+	b.spent.Bytes += int64(bytes)
+	return true
+}
+
+// ChargeCPU takes processor time that an allowed message turned out to cost.
+func (b *MeasuringBudget) ChargeCPU(now time.Time, cost time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cpu.advance(now)
+	b.cpu.tokens -= max(cost, 0).Seconds()
+	b.spent.CPU += max(cost, 0)
+}
+
+// Spent returns what measuring has cost since the start.
+func (b *MeasuringBudget) Spent() MeasuringSpent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.spent
+}
+
+func (b *MeasuringBudget) affords(now time.Time, bytes float64) bool {
+	b.messages.advance(now)
+	b.bytes.advance(now)
+	b.cpu.advance(now)
+	if bytes < 0 || b.messages.tokens < 1 || b.bytes.tokens < bytes {
+		return false
+	}
+	return !b.bounded || b.cpu.tokens > 0
+}
--- /dev/null
+++ b/request/quarantine/table.go
@@ -0,0 +1,258 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenatrestle/request"
+)
+
+// Settings bounds a Table.
+type Settings struct {
+	// Spell is how long a suspicion and a quarantine last.
+	Spell time.Duration
+	// Skew is how far the wall clocks of nodes may differ.
+	Skew time.Duration
+	// MaxCrashes is how many crashes are kept.
+	MaxCrashes int
+	// MaxRunning is how many requests of one crash are kept, suspects first.
+	MaxRunning int
+	// MaxClears is how many clears are kept.
+	MaxClears int
+}
+
+// DefaultSettings keeps a table under 2 MB.
+var DefaultSettings = Settings{
+	Spell:      5 * time.Minute,
+	Skew:       250 * time.Millisecond,
+	MaxCrashes: 128,
+	MaxRunning: 256,
+	MaxClears:  4096,
+}
+
+// maxFuture is how far ahead of the own clock a recorded time may lie.
+const maxFuture = time.Minute
+
+// Table holds the crashes and clears that a node knows, and what follows.
+type Table struct {
+	settings Settings
+
+	mu       sync.RWMutex
+	crashes  map[CrashID]*Crash
+	clears   map[request.Fingerprint]int64
+	verdicts map[request.Fingerprint]ruling
+}
+
+// ruling is a verdict until a wall-clock time in Unix milliseconds.
+type ruling struct {
+	verdict Verdict
+	until   int64
+}
+
+// New returns an empty table.
+func New(settings Settings) *Table {
+	return &Table{
+		settings: settings,
+		crashes:  make(map[CrashID]*Crash),
+		clears:   make(map[request.Fingerprint]int64),
+		verdicts: make(map[request.Fingerprint]ruling),
+	}
+}
+
+// Check returns the verdict on a fingerprint, and how long it still lasts.
+func (t *Table) Check(f request.Fingerprint, now time.Time) (Verdict, time.Duration) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.verdicts[f]
+	left := time.Duration(r.until-now.UnixMilli()) * time.Millisecond
+	if !ok || left <= 0 {
+		return Unsuspected, 0
+	}
+	return r.verdict, left
+}
+
+// Crash records that a target beside this node crashed, and returns what to
+// tell the other nodes.
+func (t *Table) Crash(id CrashID, running []Running, now time.Time) Message {
+	crash := Crash{ID: id, AtMillis: now.UnixMilli(), Running: running}
+	message := Message{Crashes: []Crash{crash}}
+	t.Merge(message, now)
+	return message
+}
+
+// Complete records that a request was answered. It returns what to tell the
+// other nodes, which is nothing unless the request was a suspect.
+func (t *Table) Complete(f request.Fingerprint, suspect bool, now time.Time) Message {
+	verdict, _ := t.Check(f, now)
+	if verdict == Unsuspected && !suspect {
+		return Message{}
+	}
+	message := Message{Clears: []Clear{{Fingerprint: f, AtMillis: now.UnixMilli()}}}
+	t.Merge(message, now)
+	return message
+}
+
+// Export returns all that is known, for a node that has just started.
+func (t *Table) Export() Message {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var m Message
+	for _, crash := range t.ordered() {
+		m.Crashes = append(m.Crashes, *crash)
+	}
+	for f, at := range t.clears {
+		m.Clears = append(m.Clears, Clear{Fingerprint: f, AtMillis: at})
+	}
+	slices.SortFunc(m.Clears, compareClears)
+	return m
+}
+
+// Merge takes in what another node told. It reports whether anything was
+// new, in which case it is worth passing on.
+func (t *Table) Merge(m Message, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := false
+	for _, crash := range m.Crashes {
+		changed = t.addCrash(crash, now) || changed
+	}
+	for _, clearing := range m.Clears {
+		changed = t.addClear(clearing, now) || changed
+	}
+	if changed {
+		t.expire(now)
+		t.verdicts = judge(t.ordered(), t.clears, t.settings)
+	}
+	return changed
+}
+
+// addCrash takes in a crash. A crash that is known already gains requests.
+func (t *Table) addCrash(crash Crash, now time.Time) bool {
+	if !t.plausible(crash.AtMillis, now) {
+		return false
+	}
+	known := t.crashes[crash.ID]
+	if known == nil {
+		kept := crash
+		kept.Running = t.bound(nil, crash.Running)
+		t.crashes[crash.ID] = &kept
+		return true
+	}
+	merged := t.bound(known.Running, crash.Running)
+	earliest := min(known.AtMillis, crash.AtMillis)
+	if earliest == known.AtMillis && slices.Equal(merged, known.Running) {
+		return false
+	}
+	t.crashes[crash.ID] = &Crash{ID: crash.ID, AtMillis: earliest, Running: merged}
+	return true
+}
+
+func (t *Table) addClear(c Clear, now time.Time) bool {
+	if !t.plausible(c.AtMillis, now) || t.clears[c.Fingerprint] >= c.AtMillis {
+		return false
+	}
+	t.clears[c.Fingerprint] = c.AtMillis
+	return true
+}
+
+// plausible refuses times that are too old to matter or in the far future.
+func (t *Table) plausible(at int64, now time.Time) bool {
+	return at > t.horizon(now) && at <= now.Add(maxFuture).UnixMilli()
+}
+
+// horizon is the time up to which records matter no more. A crash is kept for
+// two spells, since the crash that convicts may come a spell later.
+func (t *Table) horizon(now time.Time) int64 {
+	return now.Add(-2 * t.settings.Spell).UnixMilli()
+}
+
+// bound returns the union of two lists in a fixed order, suspects first, cut
+// to the limit.
+func (t *Table) bound(a, b []Running) []Running {
+	suspect := make(map[request.Fingerprint]bool, len(a)+len(b))
+	for _, r := range slices.Concat(a, b) {
+		suspect[r.Fingerprint] = suspect[r.Fingerprint] || r.Suspect
+	}
+	union := make([]Running, 0, len(suspect))
+	for f, s := range suspect {
+		union = append(union, Running{Fingerprint: f, Suspect: s})
+	}
+	slices.SortFunc(union, compareRunning)
+	return union[:min(len(union), t.settings.MaxRunning)]
+}
+
+// expire drops what matters no more, and the oldest records over the limits.
+func (t *Table) expire(now time.Time) {
+	horizon := t.horizon(now)
+	for id, crash := range t.crashes {
+		if crash.AtMillis <= horizon {
+			delete(t.crashes, id)
+		}
+	}
+	for f, at := range t.clears {
+		if at <= horizon {
+			delete(t.clears, f)
+		}
+	}
+	ordered := t.ordered()
+	for len(t.crashes) > t.settings.MaxCrashes {
+		delete(t.crashes, ordered[0].ID)
+		ordered = ordered[1:]
+	}
+	t.dropClears()
+}
+
+func (t *Table) dropClears() {
+	excess := len(t.clears) - t.settings.MaxClears
+	if excess <= 0 {
+		return
+	}
+	all := make([]Clear, 0, len(t.clears))
+	for f, at := range t.clears {
+		all = append(all, Clear{Fingerprint: f, AtMillis: at})
+	}
+	slices.SortFunc(all, compareClears)
+	for _, c := range all[:excess] {
+		delete(t.clears, c.Fingerprint)
+	}
+}
+
+// ordered returns the crashes by time.
+func (t *Table) ordered() []*Crash {
+	all := make([]*Crash, 0, len(t.crashes))
+	for _, crash := range t.crashes {
+		all = append(all, crash)
+	}
+	slices.SortFunc(all, compareCrashes)
+	return all
+}
+
+func compareCrashes(a, b *Crash) int {
+	if a.AtMillis != b.AtMillis {
+		return cmp.Compare(a.AtMillis, b.AtMillis)
+	}
+	if order := strings.Compare(a.ID.Node, b.ID.Node); order != 0 {
+		return order
+	}
+	return strings.Compare(a.ID.Instance, b.ID.Instance)
+}
+
+func compareRunning(a, b Running) int {
+	if a.Suspect != b.Suspect {
+		if a.Suspect {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(uint64(a.Fingerprint), uint64(b.Fingerprint))
+}
+
+func compareClears(a, b Clear) int {
+	if a.AtMillis != b.AtMillis {
+		return cmp.Compare(a.AtMillis, b.AtMillis)
+	}
+	return cmp.Compare(uint64(a.Fingerprint), uint64(b.Fingerprint))
+}
--- /dev/null
+++ b/request/retry.go
@@ -0,0 +1,68 @@
+package request
+
+import (
+	"sync"
+	"time"
+)
+
+// RetryPolicy bounds the further attempts of one service's requests.
+type RetryPolicy struct {
+	// Share is how many retries each answered request earns.
+	Share float64
+	// FloorPerSecond is how many retries a second are earned by time alone,
+	// so that a service with little traffic can retry at all.
+	FloorPerSecond float64
+	// Burst is how many earned retries are kept.
+	Burst float64
+}
+
+// DefaultRetryPolicy lets one answered request in ten earn a retry.
+var DefaultRetryPolicy = RetryPolicy{Share: 0.1, FloorPerSecond: 1, Burst: 20}
+
+const (
+	// retryCostRun is the price of a retry after an end that cost a target work.
+	retryCostRun = 1.0
+	// retryCostRefused is the price of a retry after a refusal, which cost a
+	// hop between nodes and no target's work.
+	retryCostRefused = 0.25
+)
+
+// RetryBudget bounds further attempts so that they can't amplify an
+// overload: over any time, the retries allowed after unknown ends plus a
+// quarter of those after refusals are at most the burst, plus the share of
+// the answers, plus the floor.
+type RetryBudget struct {
+	mu     sync.Mutex
+	share  float64
+	bucket bucket
+}
+
+// NewRetryBudget returns a full budget of one service.
+func NewRetryBudget(p RetryPolicy, now time.Time) *RetryBudget {
+	return &RetryBudget{share: p.Share, bucket: newBucket(p.Burst, p.FloorPerSecond, now)}
+}
+
+// Success earns the share of an answered request.
+func (b *RetryBudget) Success() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bucket.fill(b.share)
+}
+
+// AllowRefused spends the price of a retry of a refused attempt, if the
+// budget has it.
+func (b *RetryBudget) AllowRefused(now time.Time) bool {
+	return b.allow(now, retryCostRefused)
+}
+
+// AllowUnknown spends the price of a retry of an attempt that a target may
+// have run, if the budget has it.
+func (b *RetryBudget) AllowUnknown(now time.Time) bool {
+	return b.allow(now, retryCostRun)
+}
+
+func (b *RetryBudget) allow(now time.Time, cost float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bucket.take(now, cost)
+}
