Add stand-in target, load generator and vtstandin

Cause: the demo, the measurements and the tests of failures need targets that start cold, stall, shed, lie and crash, and callers that send again under the same key and check each answer.

Ruled out: a fixed body per path, since a misrouted answer would then look right; the body follows from method, URI, nonce and request body, so that a cut request body shows too. Counting a run at its end, since a target killed in mid-work would then hide a double; a run is entered, and where a collector is set acknowledged, before the work begins.

Change: target (slots, queue, connections, cold start that warms with answers, overrun, cancellation, announce and drain), load (open loop, Poisson, rotation of ingresses, bounded re-sends, deliberate duplicates, byte check, comparison with journals or a collector), command vtstandin.

Tests put a wrong byte, a missing byte, a double run and a false not-run between load and target; the load reports each for every operation.

--- /dev/null
+++ b/internal/standin/load/mix.go
@@ -0,0 +1,111 @@
+package load
+
+import (
+	"bytes"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+)
+
+// Class is a kind of operation.
+type Class struct {
+	// Name names the class in reports.
+	Name string `yaml:"name"`
+	// Weight is the class's share of the operations relative to the others.
+	Weight float64 `yaml:"weight"`
+	// Method is the HTTP method.
+	Method string `yaml:"method"`
+	// Path is the path; "{id}" stands for the operation's nonce.
+	Path string `yaml:"path"`
+	// Keyed gives each operation an idempotency key.
+	Keyed bool `yaml:"keyed"`
+	// BodyBytes is the mean size of the body; sizes are uniform from zero to
+	// twice as much.
+	BodyBytes int `yaml:"body_bytes"`
+	// AnswerBytes is the size of the answer.
+	AnswerBytes int `yaml:"answer_bytes"`
+}
+
+// Mix is the operations of an organisation.
+type Mix struct {
+	// Host is the name that callers use.
+	Host string `yaml:"host"`
+	// Classes are the kinds of operation.
+	Classes []Class `yaml:"classes"`
+}
+
+// mixes are the ready mixes by the organisation's name.
+var mixes = map[string]Mix{
+	"kodumala": {
+		Host: "kodumala.example",
+		Classes: []Class{
+			{Name: "register-viewing", Weight: 45, Method: "GET", Path: "/register-viewing/climbs/{id}", AnswerBytes: 2048},
+			{Name: "archive", Weight: 20, Method: "GET", Path: "/archive/registers/{id}", AnswerBytes: 16384},
+			{Name: "entry-filing", Weight: 20, Method: "POST", Path: "/entry-filing/entries", Keyed: true, BodyBytes: 600, AnswerBytes: 256},
+			{Name: "certification", Weight: 15, Method: "POST", Path: "/certification/certificates", Keyed: true, BodyBytes: 200, AnswerBytes: 512},
+		},
+	},
+	"flavour-trials": {
+		Host: "flavour-trials.example",
+		Classes: []Class{
+			{Name: "recipes", Weight: 40, Method: "GET", Path: "/recipes/cards/{id}", AnswerBytes: 4096},
+			{Name: "labels", Weight: 25, Method: "GET", Path: "/labels/allergens/{id}", AnswerBytes: 1024},
+			{Name: "batches", Weight: 15, Method: "POST", Path: "/batches/bookings", Keyed: true, BodyBytes: 300, AnswerBytes: 256},
+			{Name: "panels", Weight: 20, Method: "POST", Path: "/panels/scores", Keyed: true, BodyBytes: 150, AnswerBytes: 128},
+		},
+	},
+}
+
+// ReadyMix returns the ready mix of an organisation.
+func ReadyMix(organisation string) (Mix, error) {
+	mix, ok := mixes[organisation]
+	if !ok {
+		return Mix{}, errors.Errorf("no ready mix for organisation %q", organisation)
+	}
+	return mix, nil
+}
+
+// ReadMix reads a mix from a YAML file.
+func ReadMix(path string) (Mix, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Mix{}, errors.Wrap(err, "read mix")
+	}
+	var mix Mix
+	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&mix); err != nil {
+		return Mix{}, errors.Wrapf(err, "parse mix %s", path)
+	}
+	return mix, errors.Wrapf(mix.check(), "mix %s", path)
+}
+
+func (m *Mix) check() error {
+	if m.Host == "" || len(m.Classes) == 0 {
+		return errors.New("host and classes are required")
+	}
+	for _, class := range m.Classes {
+		if class.Name == "" || class.Weight <= 0 || class.Method == "" || class.Path == "" {
+			return errors.Errorf("class %q: name, weight, method and path are required", class.Name)
+		}
+		if class.BodyBytes < 0 || class.AnswerBytes < 0 {
+			return errors.Errorf("class %q: sizes are not negative", class.Name)
+		}
+	}
+	return nil
+}
+
+// pick returns the class at a point from 0 to 1 of the weights.
+func (m *Mix) pick(point float64) *Class {
+	var total float64
+	for i := range m.Classes {
+		total += m.Classes[i].Weight
+	}
+	point *= total
+	for i := range m.Classes {
+		point -= m.Classes[i].Weight
+		if point < 0 {
+			return &m.Classes[i]
+		}
+	}
+	return &m.Classes[len(m.Classes)-1]
+}
--- /dev/null
+++ b/internal/standin/load/run_test.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenatrestle/internal/standin/target"
+	_ "verbenatrestle/internal/testseed"
+	"verbenatrestle/request"
+)
+
+// middle stands between the load and the target, and does wrong.
+type middle struct {
+	to    http.Handler
+	wrong func(to http.Handler, w http.ResponseWriter, r *http.Request)
+}
+
+func (m middle) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/journal" {
+		m.to.ServeHTTP(w, r)
+		return
+	}
+	m.wrong(m.to, w, r)
+}
+
+// changed answers with a changed body.
+func changed(change func([]byte) []byte) func(http.Handler, http.ResponseWriter, *http.Request) {
+	return func(to http.Handler, w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		to.ServeHTTP(recorder, r)
+		body := change(recorder.Body.Bytes())
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(body)
+	}
+}
+
+// twice runs each filing two times.
+func twice(to http.Handler, w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	to.ServeHTTP(httptest.NewRecorder(), r)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	to.ServeHTTP(w, r)
+}
+
+// lie runs each request and says that it did not.
+func lie(to http.Handler, w http.ResponseWriter, r *http.Request) {
+	to.ServeHTTP(httptest.NewRecorder(), r)
+	w.Header().Set(request.HeaderOutcome, string(request.NotRun))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// lossy cuts the connection of the first send of each filing before it runs.
+func lossy() func(http.Handler, http.ResponseWriter, *http.Request) {
+	var mu sync.Mutex
+	seen := make(map[string]bool)
+	return func(to http.Handler, w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		key := r.Header.Get(target.HeaderNonce)
+		again := seen[key]
+		seen[key] = true
+		mu.Unlock()
+		if !again {
+			panic(http.ErrAbortHandler)
+		}
+		to.ServeHTTP(w, r)
+	}
+}
+
+func TestLoadFinds(t *testing.T) {
+	right := func(to http.Handler, w http.ResponseWriter, r *http.Request) { to.ServeHTTP(w, r) }
+	flip := changed(func(body []byte) []byte {
+		body[len(body)/2] ^= 1
+		return body
+	})
+	cut := changed(func(body []byte) []byte { return body[:len(body)-1] })
+	cases := []struct {
+		name  string
+		wrong func(http.Handler, http.ResponseWriter, *http.Request)
+		// found picks what must count every operation.
+		found func(*Report) int
+		broke bool
+	}{
+		{"nothing", right, func(r *Report) int { return r.All.Answered }, false},
+		{"a lost send", lossy(), func(r *Report) int { return r.All.Answered }, false},
+		{"a wrong byte", flip, func(r *Report) int { return r.All.Misrouted }, true},
+		{"a missing byte", cut, func(r *Report) int { return r.All.Truncated }, true},
+		{"a double", twice, func(r *Report) int { return r.Doubled }, true},
+		{"a lie", lie, func(r *Report) int { return r.Lied }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			stand, err := target.New(target.Options{StartWarm: true, Slots: 1000, ServiceTime: time.Microsecond})
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := httptest.NewServer(middle{to: stand.Handler(), wrong: c.wrong})
+			defer server.Close()
+			address := strings.TrimPrefix(server.URL, "http://")
+			report, err := Run(t.Context(), Config{
+				Ingresses:     []string{address},
+				Journals:      []string{address},
+				Mix:           filings(),
+				Rate:          200,
+				Duration:      250 * time.Millisecond,
+				Timeout:       20 * time.Second,
+				MaxSends:      2,
+				RetryAfterCap: time.Millisecond,
+				Duplicates:    -1,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if report.All.Sent == 0 || c.found(report) != report.All.Sent || report.Broke() != c.broke {
+				t.Fatalf("of %d found %d: %s", report.All.Sent, c.found(report), report.Line())
+			}
+		})
+	}
+}
+
+func filings() Mix {
+	class := Class{Name: "entry-filing", Weight: 1, Method: "POST", Path: "/entry-filing/entries", Keyed: true, BodyBytes: 20, AnswerBytes: 64}
+	return Mix{Host: "kodumala.example", Classes: []Class{class}}
+}
+
+func TestCollectorOutlastsTargets(t *testing.T) {
+	collector := NewCollector()
+	server := httptest.NewServer(collector)
+	defer server.Close()
+	for range 2 {
+		response, err := http.Post(server.URL, "application/json", strings.NewReader(`["a","b"]`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+	}
+	runs, err := readRuns(&Config{Collector: collector})
+	if err != nil || runs["a"] != 2 || runs["b"] != 2 {
+		t.Fatalf("runs %v, %v", runs, err)
+	}
+}
--- /dev/null
+++ b/internal/standin/load/tally.go
@@ -0,0 +1,125 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxLatency is the longest latency that the histograms hold.
+	maxLatency = 2 * time.Minute
+	// significantFigures is the precision of the histograms.
+	significantFigures = 3
+	// microsPerMs converts the histograms' unit.
+	microsPerMs = 1000.0
+)
+
+// group counts operations that belong together: a class, or those that started
+// in one second.
+type group struct {
+	sent    int
+	results [resultCount]int
+	latency *hdrhistogram.Histogram
+}
+
+func newGroup() *group {
+	return &group{latency: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), significantFigures)
+}
+
+func record(h *hdrhistogram.Histogram, latency time.Duration) {
+	micros := min(max(latency.Microseconds(), 1), maxLatency.Microseconds())
+	_ = h.RecordValue(micros)
+}
+
+func (g *group) end(r result, latency time.Duration) {
+	g.results[r]++
+	if r == answered {
+		record(g.latency, latency)
+	}
+}
+
+// tally counts everything that a load sees. It is safe for concurrent use.
+type tally struct {
+	mu sync.Mutex
+	// began is the planned start of the load.
+	began   time.Time
+	all     *group
+	classes map[string]*group
+	seconds []*group
+	refusal *hdrhistogram.Histogram
+	resends int
+	broken  int
+	copies  int
+	// keys holds the result of each keyed operation.
+	keys map[string]result
+}
+
+func newTally(began time.Time) *tally {
+	return &tally{
+		began:   began,
+		all:     newGroup(),
+		classes: make(map[string]*group),
+		refusal: newHistogram(),
+		keys:    make(map[string]result),
+	}
+}
+
+// groups returns the groups that an operation belongs to. The lock is held.
+func (t *tally) groups(op *operation) []*group {
+	class := t.classes[op.class.Name]
+	if class == nil {
+		class = newGroup()
+		t.classes[op.class.Name] = class
+	}
+	second := int(op.start.Sub(t.began) / time.Second)
+	for len(t.seconds) <= second {
+		t.seconds = append(t.seconds, newGroup())
+	}
+	return []*group{t.all, class, t.seconds[second]}
+}
+
+func (t *tally) begin(op *operation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.groups(op) {
+		g.sent++
+	}
+	if op.twice {
+		t.copies++
+	}
+}
+
+func (t *tally) end(op *operation, r result, latency time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.groups(op) {
+		g.end(r, latency)
+	}
+	if op.key != "" {
+		t.keys[op.key] = r
+	}
+}
+
+func (t *tally) resent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resends++
+}
+
+func (t *tally) broke() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.broken++
+}
+
+func (t *tally) refused(latency time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	record(t.refusal, latency)
+}
--- /dev/null
+++ b/internal/standin/target/announce.go
@@ -0,0 +1,130 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+)
+
+const (
+	// announcePeriod is the time between announcements.
+	announcePeriod = time.Second
+	// announceRetry is the time after one that failed.
+	announceRetry = 200 * time.Millisecond
+	// announceTimeout bounds one announcement.
+	announceTimeout = 2 * time.Second
+	// drainRetry is the time between two requests to drain.
+	drainRetry = 200 * time.Millisecond
+)
+
+// announcement tells the node of its target.
+type announcement struct {
+	Organisation string `json:"organisation"`
+	Service      string `json:"service"`
+	Address      string `json:"address"`
+	Instance     string `json:"instance"`
+	Slots        int    `json:"slots"`
+	Connections  int    `json:"connections"`
+	ColdLimit    int    `json:"cold_limit"`
+}
+
+// leaving asks the node to drain the target.
+type leaving struct {
+	Instance string `json:"instance"`
+}
+
+// announce tells the node of the target until the context ends or the target
+// drains.
+func (t *Target) announce(ctx context.Context) {
+	if t.options.Announce == "" {
+		return
+	}
+	failing := false
+	for {
+		period := announcePeriod
+		err := t.announceOnce(ctx)
+		if err != nil {
+			period = announceRetry
+		}
+		if err != nil && !failing {
+			level.Warn(t.options.Logger).Log("msg", "announce", "err", err)
+		}
+		failing = err != nil
+		if !pause(ctx, period) {
+			return
+		}
+	}
+}
+
+func (t *Target) announceOnce(ctx context.Context) error {
+	t.mu.Lock()
+	draining := t.draining
+	instance := t.instance
+	t.mu.Unlock()
+	if draining {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	return t.post(ctx, "/v1/announce", announcement{
+		Organisation: t.options.Organisation,
+		Service:      t.options.Service,
+		Address:      t.options.Address,
+		Instance:     instance,
+		Slots:        t.options.Slots,
+		Connections:  t.options.Connections,
+		ColdLimit:    t.options.ColdLimit,
+	})
+}
+
+// drain asks the node to drain the target, and returns when the node has told
+// that no work is left.
+func (t *Target) drain(ctx context.Context) error {
+	t.mu.Lock()
+	t.draining = true
+	instance := t.instance
+	t.mu.Unlock()
+	if t.options.Announce == "" {
+		return nil
+	}
+	path := fmt.Sprintf("/v1/drain?wait=%d", int(t.options.DrainWait.Seconds()))
+	for {
+		err := t.post(ctx, path, leaving{Instance: instance})
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx, drainRetry) {
+			return err
+		}
+	}
+}
+
+func (t *Target) post(ctx context.Context, path string, message any) error {
+	url := t.options.Announce + path
+	body, err := json.Marshal(message)
+	if err != nil {
+		return errors.Wrapf(err, "encode message to %s", url)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "make request to %s", url)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	response, err := t.client.Do(r)
+	if err != nil {
+		return errors.Wrapf(err, "post to node")
+	}
+	defer response.Body.Close()
+	answer, _ := io.ReadAll(io.LimitReader(response.Body, 4<<10))
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("post to node at %s: status %d: %s", url, response.StatusCode, answer)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/target/capacity.go
@@ -0,0 +1,79 @@
+package target
+
+import "time"
+
+// verdict is what becomes of a request that arrives.
+type verdict int
+
+const (
+	// runs means that the request gets a slot, now or soon.
+	runs verdict = iota
+	// sheds means that the request is refused.
+	sheds
+	// overruns means that the request is refused and the target falls over.
+	overruns
+)
+
+// capacity decides what a target bears. It does no I/O.
+type capacity struct {
+	slots       int
+	queue       int
+	coldLimit   int
+	warmAnswers int
+	stall       time.Duration
+
+	inFlight     int
+	answers      int
+	stalledUntil time.Time
+	graceUntil   time.Time
+}
+
+// warm reports whether the target bears all its slots.
+func (c *capacity) warm() bool {
+	return c.answers >= c.warmAnswers
+}
+
+// bears is how many requests the target can run at once.
+func (c *capacity) bears() int {
+	if c.warm() {
+		return c.slots
+	}
+	return c.coldLimit + (c.slots-c.coldLimit)*c.answers/c.warmAnswers
+}
+
+// stalled reports whether the target has fallen over.
+func (c *capacity) stalled(now time.Time) bool {
+	return now.Before(c.stalledUntil)
+}
+
+// turnCold makes the target cold. It sheds what it does not bear until the
+// grace is over.
+func (c *capacity) turnCold(now time.Time, grace time.Duration) {
+	c.answers = 0
+	c.graceUntil = now.Add(grace)
+}
+
+// arrive decides on a request that arrives, and counts it if it runs.
+func (c *capacity) arrive(now time.Time) verdict {
+	if c.stalled(now) {
+		return sheds
+	}
+	if c.inFlight < c.bears() || (c.warm() && c.inFlight < c.slots+c.queue) {
+		c.inFlight++
+		return runs
+	}
+	if c.warm() || now.Before(c.graceUntil) {
+		return sheds
+	}
+	c.answers = 0
+	c.stalledUntil = now.Add(c.stall)
+	return overruns
+}
+
+// finish counts a request that has ended.
+func (c *capacity) finish(answered bool) {
+	c.inFlight--
+	if answered && !c.warm() {
+		c.answers++
+	}
+}
--- /dev/null
+++ b/internal/standin/target/capacity_test.go
@@ -0,0 +1,41 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "verbenatrestle/internal/testseed"
+)
+
+// TestCapacityNeverBearsMore drives a capacity with random arrivals and ends.
+func TestCapacityNeverBearsMore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := capacity{slots: 8, queue: 4, coldLimit: 2, warmAnswers: 20, stall: time.Second}
+		now := time.Unix(0, 0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			before, bears, warm, stalled := c.inFlight, c.bears(), c.warm(), c.stalled(now)
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				c.turnCold(now, 0)
+			case 1, 2, 3, 4:
+				if c.inFlight > 0 {
+					c.finish(true)
+				}
+			default:
+				got := c.arrive(now)
+				if got == runs && (stalled || (!warm && before >= bears) || before >= 12) {
+					t.Fatalf("runs one more beside %d, bears %d, stalled %t", before, bears, stalled)
+				}
+				if got == overruns && (stalled || warm || before < bears || !c.stalled(now) || c.warm()) {
+					t.Fatalf("falls over at %d, bears %d", before, bears)
+				}
+			}
+			if c.bears() < c.coldLimit || c.bears() > c.slots {
+				t.Fatalf("bears %d", c.bears())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/target/collector.go
@@ -0,0 +1,102 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// collectorQueue bounds the entries that wait to be sent.
+	collectorQueue = 4096
+	// collectorBatch bounds the entries of one call.
+	collectorBatch = 256
+	// collectorTimeout bounds one call to the collector.
+	collectorTimeout = 5 * time.Second
+)
+
+// entry is a run that waits for the collector.
+type entry struct {
+	key  string
+	done chan error
+}
+
+// collector sends runs to a collector, several at a time.
+type collector struct {
+	url     string
+	client  *http.Client
+	entries chan entry
+}
+
+func newCollector(url string) *collector {
+	return &collector{
+		url:     url,
+		client:  &http.Client{Timeout: collectorTimeout},
+		entries: make(chan entry, collectorQueue),
+	}
+}
+
+// record returns when the collector has acknowledged the run.
+func (c *collector) record(ctx context.Context, key string) error {
+	e := entry{key: key, done: make(chan error, 1)}
+	select {
+	case c.entries <- e:
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "record run at %s", c.url)
+	}
+	return <-e.done
+}
+
+// run sends entries until the context ends.
+func (c *collector) run(ctx context.Context) {
+	for {
+		select {
+		case first := <-c.entries:
+			batch := c.batch(first)
+			err := c.send(batch)
+			for _, e := range batch {
+				e.done <- err
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// batch takes the entries that wait behind the first.
+func (c *collector) batch(first entry) []entry {
+	batch := []entry{first}
+	for len(batch) < collectorBatch {
+		select {
+		case e := <-c.entries:
+			batch = append(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (c *collector) send(batch []entry) error {
+	keys := make([]string, len(batch))
+	for i, e := range batch {
+		keys[i] = e.key
+	}
+	body, err := json.Marshal(keys)
+	if err != nil {
+		return errors.Wrap(err, "encode runs")
+	}
+	response, err := c.client.Post(c.url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrapf(err, "send runs to %s", c.url)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("send runs to %s: status %d", c.url, response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/target/options.go
@@ -0,0 +1,114 @@
+package target
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+// Defaults of Options.
+const (
+	DefaultSlots       = 20
+	DefaultConnections = 250
+	DefaultColdLimit   = 4
+	DefaultService     = 5 * time.Millisecond
+	DefaultWarmAnswers = 100
+	DefaultStall       = 2 * time.Second
+	DefaultColdGrace   = 250 * time.Millisecond
+	DefaultColdFactor  = 2
+	DefaultOpenCost    = time.Millisecond
+	DefaultDrainWait   = 30 * time.Second
+)
+
+// Options describe a target. Zero values mean the defaults.
+type Options struct {
+	// Organisation and Service name what the target serves.
+	Organisation string
+	Service      string
+	// Address is "IP:port" to listen on.
+	Address string
+	// Announce is the base URL of the node's announce listener. Empty means
+	// that the target announces itself to nobody.
+	Announce string
+	// Instance names this life of the target. The default is a new UUID.
+	Instance string
+	// Slots is how many requests a warm target runs at once.
+	Slots int
+	// Queue is how many more wait for a slot. Zero means four times the slots,
+	// less than zero means none.
+	Queue int
+	// Connections bounds the open connections.
+	Connections int
+	// ColdLimit is how many requests a cold target bears at once.
+	ColdLimit int
+	// WarmAnswers is how many answers warm the target up.
+	WarmAnswers int
+	// StartWarm makes the target start warm.
+	StartWarm bool
+	// ColdFactor is how many times longer a cold target works.
+	ColdFactor float64
+	// ColdGrace is how long a target that turns cold by Control sheds what it
+	// does not bear, before it falls over from it.
+	ColdGrace time.Duration
+	// Stall is how long a target that fell over stays so.
+	Stall time.Duration
+	// ServiceTime is the mean service time: half of it is constant, and the rest
+	// has an exponential distribution.
+	ServiceTime time.Duration
+	// OpenCost is how long the opening of a connection keeps the target busy.
+	OpenCost time.Duration
+	// Lag is how old the answers of /load are. Zero means not at all.
+	Lag time.Duration
+	// Seed seeds the service times.
+	Seed uint64
+	// Collector is the URL that each run is posted to before the work begins.
+	// Empty means none.
+	Collector string
+	// DrainWait bounds the wait for the node to tell that a drain is over.
+	DrainWait time.Duration
+	// Crash is called when the target is to crash. The default cuts all
+	// connections and starts a new, cold instance in the same process.
+	Crash func()
+	// Logger receives what the target does. Nil means none.
+	Logger log.Logger
+}
+
+func (o *Options) complete() {
+	setDefault(&o.Instance, uuid.NewString())
+	setDefault(&o.Slots, DefaultSlots)
+	setDefault(&o.Queue, 4*o.Slots)
+	setDefault(&o.Connections, DefaultConnections)
+	setDefault(&o.ColdLimit, min(DefaultColdLimit, o.Slots))
+	setDefault(&o.WarmAnswers, DefaultWarmAnswers)
+	setDefault(&o.ColdFactor, DefaultColdFactor)
+	setDefault(&o.ColdGrace, DefaultColdGrace)
+	setDefault(&o.Stall, DefaultStall)
+	setDefault(&o.ServiceTime, DefaultService)
+	setDefault(&o.OpenCost, DefaultOpenCost)
+	setDefault(&o.DrainWait, DefaultDrainWait)
+	o.Queue = max(o.Queue, 0)
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+}
+
+func (o *Options) check() error {
+	if o.Slots < 1 || o.Connections < 1 || o.ColdLimit < 1 || o.ColdLimit > o.Slots {
+		return errors.Errorf("target options: slots %d, connections %d, cold limit %d do not fit",
+			o.Slots, o.Connections, o.ColdLimit)
+	}
+	if o.WarmAnswers < 1 || o.ColdFactor < 1 || o.ServiceTime < 0 {
+		return errors.Errorf("target options: warm answers %d, cold factor %g, service time %s do not fit",
+			o.WarmAnswers, o.ColdFactor, o.ServiceTime)
+	}
+	return nil
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
