--- a/request/balance/group.go
+++ b/request/balance/group.go
@@ -14,9 +14,8 @@
 type group struct {
 	mu         sync.Mutex
 	endpoints  []*endpoint // by node
-	turn       uint64
 	candidates []Candidate // reused from pick to pick
-	scratch    []int       // reused from pick to pick
+	choice     Choice      // reused from pick to pick
 }
 
 func (g *group) setEndpoints(wanted []Endpoint, local Local) {
@@ -66,10 +65,14 @@
 	if len(g.candidates) == 0 {
 		return "", false
 	}
-	g.turn++
-	choice := Choice{Service: service, Candidates: g.candidates, Turn: g.turn, Now: now, Rand: rng, scratch: g.scratch}
-	chosen := policy.Choose(&choice)
-	g.scratch = choice.scratch
+	c := &g.choice
+	c.Service = service
+	c.Candidates = g.candidates
+	c.Turn++
+	c.Now = now
+	c.Rand = rng
+	chosen := policy.Choose(c)
+	c.Rand = nil
 	return g.candidates[chosen].Node, true
 }
 
--- a/request/balance/scored.go
+++ b/request/balance/scored.go
@@ -16,6 +16,13 @@
 	// failurePenalty is how many times worse a candidate that always fails
 	// scores. Quick failures keep few requests in flight, and so would look idle.
 	failurePenalty = 10
+	// failing is the failure share from which an endpoint's own latency says
+	// nothing good about it.
+	failing = 0.05
+	// scoreJitter is the largest share by which a score is raised at random, so
+	// that scores that are almost the same come first in turn, and nodes that
+	// believe the same don't all pick the same.
+	scoreJitter = 0.1
 )
 
 // scored is a policy that narrows the candidates to the nearest that have
@@ -30,21 +37,51 @@
 
 // Choose implements Policy.
 func (p scored) Choose(c *Choice) int {
+	c.distrustFailing()
 	considered := c.thinCold()
-	considered = c.nearestWithRoom(considered)
+	considered, room := c.nearestWithRoom(considered)
+	if cold, ok := c.coldTurn(considered); room && ok {
+		return cold
+	}
 	c.draw(considered, choices)
 	drawn := considered[:min(choices, len(considered))]
-	best, bestScore := drawn[0], p.penalised(&c.Candidates[drawn[0]])
+	best, bestScore := drawn[0], p.final(c, drawn[0])
 	for _, i := range drawn[1:] {
-		if score := p.penalised(&c.Candidates[i]); score < bestScore {
+		if score := p.final(c, i); score < bestScore {
 			best, bestScore = i, score
 		}
 	}
 	return best
 }
 
-func (p scored) penalised(c *Candidate) float64 {
-	return p.score(c) * (1 + failurePenalty*c.FailureShare)
+// final returns a candidate's score with its penalty and jitter.
+func (p scored) final(c *Choice, i int) float64 {
+	candidate := &c.Candidates[i]
+	penalty := 1 + failurePenalty*candidate.FailureShare
+	jitter := 1 + scoreJitter*c.Rand.Float64()
+	return p.score(candidate) * penalty * jitter
+}
+
+// distrustFailing gives candidates that fail the service's mean latencies
+// where their own are lower.
+func (c *Choice) distrustFailing() {
+	var latency, own, sound time.Duration
+	for i := range c.Candidates {
+		if c.Candidates[i].FailureShare < failing {
+			latency += c.Candidates[i].Latency
+			own += c.Candidates[i].OwnLatency
+			sound++
+		}
+	}
+	if sound == 0 || int(sound) == len(c.Candidates) {
+		return
+	}
+	for i := range c.Candidates {
+		if candidate := &c.Candidates[i]; candidate.FailureShare >= failing {
+			candidate.Latency = max(candidate.Latency, latency/sound)
+			candidate.OwnLatency = max(candidate.OwnLatency, own/sound)
+		}
+	}
 }
 
 // thinCold returns the indices of the warm candidates, and each cold one with
@@ -71,9 +108,24 @@
 	return kept
 }
 
+// coldTurn returns the cold candidate that thinCold left among warm ones. It
+// is this one's turn: compared by score, an idle cold target might never get
+// the work that warms it.
+func (c *Choice) coldTurn(considered []int) (int, bool) {
+	cold, warm := -1, false
+	for _, i := range considered {
+		if c.Candidates[i].Cold {
+			cold = i
+		} else {
+			warm = true
+		}
+	}
+	return cold, warm && cold >= 0
+}
+
 // nearestWithRoom narrows the considered candidates to those with room at the
-// shortest distance that has any. If none has room, it returns all.
-func (c *Choice) nearestWithRoom(considered []int) []int {
+// shortest distance that has any. If none has room, it returns all and false.
+func (c *Choice) nearestWithRoom(considered []int) ([]int, bool) {
 	slow := c.slowBound(considered)
 	var withRoom [distanceCount]int
 	for _, i := range considered {
@@ -86,7 +138,7 @@
 		nearest++
 	}
 	if nearest == distanceCount {
-		return considered
+		return considered, false
 	}
 	kept := considered[:0]
 	for _, i := range considered {
@@ -95,7 +147,7 @@
 			kept = append(kept, i)
 		}
 	}
-	return kept
+	return kept, true
 }
 
 // slowBound returns the latency above which a candidate is slow.
--- /dev/null
+++ b/request/quarantine/table_test.go
@@ -0,0 +1,262 @@
+package quarantine
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "verbenatrestle/internal/testseed"
+	"verbenatrestle/request"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// running returns requests in flight, the first of them as suspects.
+func running(suspects int, fingerprints ...request.Fingerprint) []Running {
+	var all []Running
+	for i, f := range fingerprints {
+		all = append(all, Running{Fingerprint: f, Suspect: i < suspects})
+	}
+	return all
+}
+
+func wantVerdict(t *testing.T, table *Table, f request.Fingerprint, now time.Time, want Verdict) {
+	t.Helper()
+	if got, _ := table.Check(f, now); got != want {
+		t.Errorf("%v is %v, want %v", f, got, want)
+	}
+}
+
+func TestSecondCrashConvictsTheOnlySuspect(t *testing.T) {
+	table := New(DefaultSettings)
+	table.Crash(CrashID{"n1", "a"}, running(0, 1, 2, 3), start)
+	for _, f := range []request.Fingerprint{1, 2, 3} {
+		wantVerdict(t, table, f, start, Suspect)
+	}
+	later := start.Add(time.Second)
+	table.Complete(2, true, later)
+	wantVerdict(t, table, 2, later, Unsuspected)
+	table.Crash(CrashID{"n2", "b"}, running(1, 1, 7, 8), later)
+	wantVerdict(t, table, 1, later, Quarantined)
+	for _, f := range []request.Fingerprint{2, 3, 7, 8} {
+		wantVerdict(t, table, f, later, Unsuspected)
+	}
+	wantVerdict(t, table, 1, later.Add(DefaultSettings.Spell), Unsuspected)
+}
+
+func TestCrashReportedTwiceConvictsNobody(t *testing.T) {
+	table := New(DefaultSettings)
+	for range 2 {
+		table.Crash(CrashID{"n1", "a"}, running(0, 1), start)
+	}
+	wantVerdict(t, table, 1, start, Suspect)
+}
+
+func TestTwoSuspectsInOneCrashStaySuspects(t *testing.T) {
+	table := New(DefaultSettings)
+	table.Crash(CrashID{"n1", "a"}, running(0, 1, 2), start)
+	table.Crash(CrashID{"n2", "b"}, running(0, 1, 2), start.Add(time.Second))
+	wantVerdict(t, table, 1, start.Add(time.Second), Suspect)
+	wantVerdict(t, table, 2, start.Add(time.Second), Suspect)
+}
+
+func TestImplausibleTimesAreIgnored(t *testing.T) {
+	table := New(DefaultSettings)
+	for _, at := range []time.Duration{-2 * DefaultSettings.Spell, 2 * maxFuture} {
+		crash := Crash{ID: CrashID{"n1", "a"}, AtMillis: start.Add(at).UnixMilli(), Running: running(1, 1)}
+		if table.Merge(Message{Crashes: []Crash{crash}}, start) {
+			t.Errorf("a crash %v from now was taken in", at)
+		}
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	s := Settings{Spell: time.Hour, MaxCrashes: 4, MaxRunning: 3, MaxClears: 5}
+	table := New(s)
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * time.Second)
+		f := request.Fingerprint(i * 10)
+		table.Crash(CrashID{"n1", now.String()}, running(0, f, f+1, f+2, f+3, f+4), now)
+		table.Complete(f, true, now)
+	}
+	m := table.Export()
+	if len(m.Crashes) > 4 || len(m.Clears) > 5 || len(table.verdicts) > 12 {
+		t.Errorf("%d crashes, %d clears, %d verdicts kept", len(m.Crashes), len(m.Clears), len(table.verdicts))
+	}
+	for _, c := range m.Crashes {
+		if len(c.Running) > 3 {
+			t.Errorf("%d requests of a crash kept", len(c.Running))
+		}
+	}
+}
+
+// fleet is a model of targets, each run by its own node, and of callers that
+// send again what was in flight at a crash. One request crashes every target
+// that runs it. Every guard runs one suspect at a time. What nodes tell each
+// other arrives late, twice and in any order, but before the next event when
+// gossip is prompt.
+type fleet struct {
+	t       *rapid.T
+	tables  []*Table
+	running [][]Running
+	mail    [][]Message
+	again   []request.Fingerprint
+	now     time.Time
+	life    int
+	crashes int
+	next    request.Fingerprint
+}
+
+const crasher request.Fingerprint = 999
+
+func newFleet(t *rapid.T, nodes int) *fleet {
+	f := &fleet{t: t, now: start, next: 1000}
+	for range nodes {
+		f.tables = append(f.tables, New(DefaultSettings))
+		f.running = append(f.running, nil)
+		f.mail = append(f.mail, nil)
+	}
+	f.again = []request.Fingerprint{crasher}
+	return f
+}
+
+func (f *fleet) tell(from int, m Message) {
+	for i := range f.mail {
+		if i != from && !m.Empty() {
+			f.mail[i] = append(f.mail[i], m)
+		}
+	}
+}
+
+func (f *fleet) deliver(i int) {
+	for _, m := range rapid.Permutation(f.mail[i]).Draw(f.t, "order") {
+		f.tables[i].Merge(m, f.now)
+	}
+	f.mail[i] = nil
+}
+
+// send runs a request at a node's target unless it is refused.
+func (f *fleet) send(i int, fp request.Fingerprint) {
+	verdict, _ := f.tables[i].Check(fp, f.now)
+	if verdict == Quarantined {
+		if fp != crasher {
+			f.t.Fatalf("innocent %v is quarantined", fp)
+		}
+		return
+	}
+	if verdict == Suspect && f.runsSuspect(i) {
+		f.again = append(f.again, fp)
+		return
+	}
+	f.running[i] = append(f.running[i], Running{Fingerprint: fp, Suspect: verdict == Suspect})
+}
+
+func (f *fleet) runsSuspect(i int) bool {
+	for _, r := range f.running[i] {
+		if r.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) crash(i int) {
+	f.crashes++
+	f.life++
+	id := CrashID{Node: string(rune('a' + i)), Instance: string(rune(f.life))}
+	f.tell(i, f.tables[i].Crash(id, f.running[i], f.now))
+	for _, r := range f.running[i] {
+		f.again = append(f.again, r.Fingerprint)
+	}
+	f.running[i] = nil
+}
+
+func (f *fleet) complete(i int) {
+	for _, r := range f.running[i] {
+		if r.Fingerprint != crasher {
+			f.tell(i, f.tables[i].Complete(r.Fingerprint, r.Suspect, f.now))
+		}
+	}
+	f.running[i] = nil
+}
+
+func (f *fleet) step() {
+	i := rapid.IntRange(0, len(f.tables)-1).Draw(f.t, "node")
+	f.now = f.now.Add(time.Second)
+	switch rapid.IntRange(0, 3).Draw(f.t, "event") {
+	case 0:
+		f.next++
+		f.send(i, f.next)
+	case 1:
+		if len(f.again) > 0 {
+			fp := f.again[0]
+			f.again = f.again[1:]
+			f.send(i, fp)
+		}
+	case 2:
+		if f.runsCrasher(i) {
+			f.crash(i)
+			return
+		}
+		f.complete(i)
+	case 3:
+		f.deliver(i)
+	}
+}
+
+func (f *fleet) runsCrasher(i int) bool {
+	for _, r := range f.running[i] {
+		if r.Fingerprint == crasher {
+			return true
+		}
+	}
+	return false
+}
+
+// The crasher is quarantined at its second crash when nodes hear of the first
+// in time, and innocents never are.
+func TestCrasherIsQuarantinedAtTheSecondCrash(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, rapid.IntRange(1, 4).Draw(t, "nodes"))
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			f.step()
+			for i := range f.tables {
+				f.deliver(i)
+			}
+			if f.crashes > 2 {
+				t.Fatalf("%d crashes", f.crashes)
+			}
+		}
+		for i, table := range f.tables {
+			if verdict, _ := table.Check(crasher, f.now); f.crashes == 2 && verdict != Quarantined {
+				t.Fatalf("node %d takes the crasher for %v", i, verdict)
+			}
+		}
+	})
+}
+
+// However late and mixed up the nodes hear of crashes, they never quarantine
+// an innocent, and come to the same verdicts once they have heard all.
+func TestLateGossipQuarantinesNoInnocent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, rapid.IntRange(2, 4).Draw(t, "nodes"))
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			f.step()
+		}
+		for i := range f.tables {
+			f.deliver(i)
+		}
+		for i, table := range f.tables {
+			if !reflect.DeepEqual(table.verdicts, f.tables[0].verdicts) {
+				t.Fatalf("nodes 0 and %d disagree: %v, %v", i, f.tables[0].verdicts, table.verdicts)
+			}
+			for fp, r := range table.verdicts {
+				if r.verdict == Quarantined && fp != crasher {
+					t.Fatalf("innocent %v is quarantined", fp)
+				}
+			}
+		}
+	})
+}
