--- a/internal/standin/target/options.go
+++ b/internal/standin/target/options.go
@@ -27,7 +27,7 @@
 	// Organisation and Service name what the target serves.
 	Organisation string
 	Service      string
-	// Address is "IP:port" to listen on.
+	// Address is "IP:port" to listen on. Port 0 takes any free port.
 	Address string
 	// Announce is the base URL of the node's announce listener. Empty means
 	// that the target announces itself to nobody.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -111,6 +111,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", t.options.Address)
 	}
+	t.options.Address = inner.Addr().String()
 	t.listen(inner)
 	background, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
