Prove the guard and its limits by property tests

Cause: the guard had no tests. They found that vegas hardly shrank a limit of 20 slots, and that the fair share by counted refusals left a caller of weight 2 with 9.5 of 20 slots where its share is 13.3, since each admission used up the claim of the refusal before it.

Change: vegas bounds its queue by the plain logarithm. A caller below its share has one free slot kept until 20 ms after its latest refusal. Property tests of the guard's promises, of cold targets picked by several nodes, and of the fair share.

--- a/process/admission/admit.go
+++ b/process/admission/admit.go
@@ -69,14 +69,14 @@
 	bound := g.limit(now)
 	running := len(g.runs)
 	if running >= bound {
-		g.shares.want(r.Caller, bound, now)
+		g.shares.want(r.Caller, now)
 		return g.fullReason(now), true
 	}
 	if g.opened >= 0 && running >= g.opened+g.settings.OpeningAtOnce {
 		return Connecting, true
 	}
 	if !g.shares.allows(r.Caller, bound-running, bound, now) {
-		g.shares.want(r.Caller, bound, now)
+		g.shares.want(r.Caller, now)
 		return OverShare, true
 	}
 	return 0, false
--- /dev/null
+++ b/process/admission/cold_test.go
@@ -0,0 +1,265 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"verbenatrestle/connection/load"
+	"verbenatrestle/process/admission/limit"
+	"verbenatrestle/request/balance"
+)
+
+const (
+	service   = "kodumala/viewing"
+	coldLimit = 2
+	slots     = 10
+	workTime  = 10 * time.Millisecond
+)
+
+// coldTarget is a model of a target that turns cold at any time. It bears its
+// cold limit then, and one more for every two rounds of answers. It sheds what
+// it doesn't bear, and only then says that it is cold.
+type coldTarget struct {
+	guard    *Guard
+	node     string
+	running  []coldRun
+	bears    int
+	answered int
+	// silent tells that nothing has told the guard of the last cold turn.
+	silent bool
+}
+
+type coldRun struct {
+	ticket Ticket
+	ends   time.Time
+}
+
+func (c *coldTarget) turnCold() {
+	c.bears = coldLimit
+	c.answered = 0
+	c.silent = true
+}
+
+// end ends what has run its time.
+func (c *coldTarget) end(now time.Time) {
+	kept := c.running[:0]
+	for _, r := range c.running {
+		if r.ends.After(now) {
+			kept = append(kept, r)
+			continue
+		}
+		c.guard.Done(r.ticket, Result{Kind: Answered}, now)
+		c.answered++
+		if c.answered >= 2*c.bears && c.bears < slots {
+			c.bears++
+			c.answered = 0
+		}
+	}
+	c.running = kept
+}
+
+// receive runs an admitted request, or sheds it. It returns whether the
+// target was given more than it bears although the guard could know.
+func (c *coldTarget) receive(ticket Ticket, now time.Time) (overrun bool) {
+	if len(c.running) < c.bears {
+		c.running = append(c.running, coldRun{ticket: ticket, ends: now.Add(workTime)})
+		return false
+	}
+	overrun = !c.silent
+	c.silent = false
+	c.guard.Done(ticket, Result{Kind: Shed, Cold: true}, now)
+	return overrun
+}
+
+// Promise 2: several nodes pick cold targets at once, by reports that lag and
+// mislead. After the first sign of cold, a target never gets more than it bears.
+func TestColdTargetGetsNoMoreThanItBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 3))
+		targets := newColdTargets(t, rapid.SampledFrom(limit.Names()).Draw(t, "limit"), now)
+		tables := newTables(t, targets)
+		for step := range rapid.IntRange(1, 600).Draw(t, "steps") {
+			now = now.Add(time.Duration(rng.IntN(2000)) * time.Microsecond)
+			for _, c := range targets {
+				c.end(now)
+				if rng.IntN(300) == 0 {
+					c.turnCold()
+				}
+				if rng.IntN(20) == 0 {
+					lie := load.State(rng.IntN(3))
+					c.guard.Report(Report{State: lie, Slots: 100}, now)
+				}
+			}
+			table := tables[rng.IntN(len(tables))]
+			node, ok := table.Pick(service, nil, now, rng)
+			if !ok {
+				continue
+			}
+			c := targets[node]
+			ticket, refusal := c.guard.Admit(Request{Caller: alpine}, now)
+			if refusal == nil && c.receive(ticket, now) {
+				t.Fatalf("step %d: %s got more than the %d that it bears", step, node, c.bears)
+			}
+			if rng.IntN(3) == 0 { // the others' knowledge lags
+				table.Observe(service, node, c.guard.Sample(now), now)
+			}
+		}
+	})
+}
+
+func newColdTargets(t *rapid.T, adaptive string, now time.Time) map[string]*coldTarget {
+	targets := make(map[string]*coldTarget)
+	for i := range 2 {
+		c := &coldTarget{guard: newGuard(t, adaptive), node: fmt.Sprintf("n%d", i)}
+		c.guard.Announce(Target{Instance: c.node, Slots: slots, ColdLimit: coldLimit}, now)
+		c.turnCold()
+		c.silent = false
+		targets[c.node] = c
+	}
+	return targets
+}
+
+func newTables(t *rapid.T, targets map[string]*coldTarget) []*balance.Table {
+	var tables []*balance.Table
+	for range 3 {
+		policy, err := balance.New(balance.Default)
+		if err != nil {
+			t.Fatal(err)
+		}
+		table := balance.NewTable(policy, balance.Local{})
+		var endpoints []balance.Endpoint
+		for node := range targets {
+			endpoints = append(endpoints, balance.Endpoint{Node: node, State: load.Warm, Slots: slots, ColdLimit: coldLimit})
+		}
+		table.SetEndpoints(service, endpoints)
+		tables = append(tables, table)
+	}
+	return tables
+}
+
+// warmUp runs rounds of full use until the target is warm.
+func warmUp(t testing.TB, g *Guard, now time.Time) time.Time {
+	t.Helper()
+	for range 1000 {
+		if g.Sample(now).State == load.Warm {
+			return now
+		}
+		now = round(g, now, workTime, Result{Kind: Answered})
+	}
+	t.Fatal("the target does not get warm")
+	return now
+}
+
+// round fills the target and ends all of it after a while.
+func round(g *Guard, now time.Time, took time.Duration, result Result) time.Time {
+	var tickets []Ticket
+	for {
+		ticket, refusal := g.Admit(Request{Caller: alpine}, now)
+		if refusal != nil {
+			break
+		}
+		tickets = append(tickets, ticket)
+	}
+	now = now.Add(took)
+	for _, ticket := range tickets {
+		g.Done(ticket, result, now)
+	}
+	return now
+}
+
+func TestEverySignOfColdLowersTheLimitAtOnce(t *testing.T) {
+	signs := map[string]func(g *Guard, now time.Time) time.Time{
+		"new instance": func(g *Guard, now time.Time) time.Time {
+			g.Announce(Target{Instance: "b", Slots: slots, ColdLimit: coldLimit}, now)
+			return now
+		},
+		"answer of a new instance": func(g *Guard, now time.Time) time.Time {
+			ticket, _ := g.Admit(Request{}, now)
+			g.Done(ticket, Result{Kind: Answered, Instance: "b"}, now)
+			return now
+		},
+		"cold answer": func(g *Guard, now time.Time) time.Time {
+			ticket, _ := g.Admit(Request{}, now)
+			g.Done(ticket, Result{Kind: Answered, Cold: true}, now)
+			return now
+		},
+		"own report": func(g *Guard, now time.Time) time.Time {
+			g.Report(Report{State: load.Cold}, now)
+			return now
+		},
+		"return from out": func(g *Guard, now time.Time) time.Time {
+			g.SetOut(true, now)
+			g.SetOut(false, now)
+			return now
+		},
+		"return after loss": func(g *Guard, now time.Time) time.Time {
+			g.TargetLost(false, now)
+			g.Announce(Target{Instance: "a", Slots: slots, ColdLimit: coldLimit}, now)
+			return now
+		},
+		"sudden latency": func(g *Guard, now time.Time) time.Time {
+			return round(g, now, 8*workTime, Result{Kind: Answered})
+		},
+	}
+	for name, sign := range signs {
+		g := newGuard(t, "fixed")
+		g.Announce(Target{Instance: "a", Slots: slots, ColdLimit: coldLimit}, start)
+		now := warmUp(t, g, start)
+		if got := g.Sample(now); got.Limit != slots {
+			t.Fatalf("warm limit %d, want %d", got.Limit, slots)
+		}
+		now = sign(g, now)
+		if got := g.Sample(now); got.Limit != coldLimit || got.State != load.Cold {
+			t.Errorf("%s: limit %d, state %v; want %d, cold", name, got.Limit, got.State, coldLimit)
+		}
+	}
+}
+
+// Suspicion by latency grows back with every answer at the usual latency; a
+// cold target that is slow as well is not taken for a suspicion.
+func TestGrowthAfterSuspicionIsQuick(t *testing.T) {
+	g := newGuard(t, "fixed")
+	g.Announce(Target{Instance: "a", Slots: slots, ColdLimit: coldLimit}, start)
+	now := warmUp(t, g, start)
+	now = round(g, now, 8*workTime, Result{Kind: Answered})
+	now = round(g, now, workTime, Result{Kind: Answered})
+	if got := g.Sample(now).Limit; got != 2*coldLimit {
+		t.Errorf("limit %d after a round at the usual latency, want %d", got, 2*coldLimit)
+	}
+
+	g = newGuard(t, "fixed")
+	g.Announce(Target{Instance: "a", Slots: slots, ColdLimit: coldLimit}, start)
+	now = warmUp(t, g, start)
+	now = round(g, now, workTime, Result{Kind: Answered, Cold: true})
+	for range slowStreak {
+		ticket, _ := g.Admit(Request{}, now)
+		now = now.Add(8 * workTime)
+		g.Done(ticket, Result{Kind: Answered}, now)
+	}
+	now = round(g, now, workTime, Result{Kind: Answered})
+	if got := g.Sample(now).Limit; got > coldLimit+1 {
+		t.Errorf("limit %d of a cold target after a round, want at most %d", got, coldLimit+1)
+	}
+}
+
+func TestReportsNeverRaise(t *testing.T) {
+	g := newGuard(t, "fixed")
+	g.Announce(Target{Instance: "a", Slots: slots, ColdLimit: coldLimit}, start)
+	g.Report(Report{State: load.Warm, Slots: 500}, start)
+	if got := g.Sample(start); got.Limit != coldLimit || got.State != load.Cold {
+		t.Errorf("a report raised the limit: %+v", got)
+	}
+	now := warmUp(t, g, start)
+	g.Report(Report{State: load.Warm, Slots: 3}, now)
+	if got := g.Sample(now).Limit; got != 3 {
+		t.Errorf("limit %d at 3 reported slots", got)
+	}
+	if got := g.Sample(now.Add(reportLife)).Limit; got != slots {
+		t.Errorf("limit %d once the report is old, want %d", got, slots)
+	}
+}
--- a/process/admission/fair.go
+++ b/process/admission/fair.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// wantLife is how long a free slot is kept for a caller that was refused
-	// for lack of room.
+	// wantLife is how long after its latest refusal for lack of room a caller
+	// below its share has a free slot kept.
 	wantLife = 20 * time.Millisecond
 	// maxAccounts is how many callers are counted before idle ones are forgotten.
 	maxAccounts = 256
@@ -25,8 +25,8 @@
 // account is what one caller runs and wants.
 type account struct {
 	inFlight int
-	wants    int
-	until    time.Time
+	// until is when the caller stops wanting a slot.
+	until time.Time
 }
 
 func newShares() shares {
@@ -93,26 +93,22 @@
 	return free > s.kept(key, unit, now)
 }
 
-// kept returns how many free slots are kept for callers other than key.
+// kept returns how many free slots are kept for callers other than key: one
+// for each that wants a slot and runs less than its share.
 func (s *shares) kept(key request.ShareKey, unit float64, now time.Time) int {
 	kept := 0
 	for other, a := range s.accounts {
-		if other == key || a.wants == 0 || !now.Before(a.until) {
-			continue
+		wants := other != key && now.Before(a.until)
+		if wants && float64(a.inFlight+1) <= unit*s.weight(other) {
+			kept++
 		}
-		room := int(unit*s.weight(other)) - a.inFlight
-		kept += max(min(a.wants, room), 0)
 	}
 	return kept
 }
 
 // want notes that a caller was refused for lack of room.
-func (s *shares) want(key request.ShareKey, limit int, now time.Time) {
+func (s *shares) want(key request.ShareKey, now time.Time) {
 	a := s.account(key, now)
-	if !now.Before(a.until) {
-		a.wants = 0
-	}
-	a.wants = min(a.wants+1, limit)
 	a.until = now.Add(wantLife)
 	if s.wanting.Before(a.until) {
 		s.wanting = a.until
@@ -120,9 +116,7 @@
 }
 
 func (s *shares) begin(key request.ShareKey, now time.Time) {
-	a := s.account(key, now)
-	a.inFlight++
-	a.wants = max(a.wants-1, 0)
+	s.account(key, now).inFlight++
 }
 
 func (s *shares) end(key request.ShareKey) {
--- /dev/null
+++ b/process/admission/limit/limit_test.go
@@ -0,0 +1,74 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "verbenatrestle/internal/testseed"
+)
+
+const usual = 10 * time.Millisecond
+
+// feed shows a limit windows of requests that used it fully.
+func feed(l Limit, windows int, latency time.Duration, dropped bool) {
+	for range windows * windowSize {
+		l.Observe(Observation{Latency: latency, InFlight: l.Value(), Dropped: dropped})
+	}
+}
+
+func TestLimitsStayWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{Floor: rapid.IntRange(-1, 10).Draw(t, "floor"), Ceiling: rapid.IntRange(-1, 50).Draw(t, "ceiling")}
+		l, err := New(rapid.SampledFrom(Names()).Draw(t, "name"), b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		floor := max(b.Floor, 1)
+		ceiling := max(b.Ceiling, floor)
+		for range rapid.IntRange(1, 60).Draw(t, "windows") {
+			latency := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "latency"))
+			feed(l, 1, latency, rapid.IntRange(0, 3).Draw(t, "drop") == 0)
+			if l.Value() < floor || l.Value() > ceiling {
+				t.Fatalf("%s: %d is not between %d and %d", l.Name(), l.Value(), floor, ceiling)
+			}
+		}
+	})
+}
+
+func TestLimitsFollowTheTarget(t *testing.T) {
+	for _, name := range []string{"aimd", "gradient", "vegas"} {
+		l, err := New(name, Bounds{Floor: 2, Ceiling: 20})
+		if err != nil {
+			t.Fatal(err)
+		}
+		feed(l, 20, usual, false)
+		if l.Value() != 20 {
+			t.Errorf("%s: %d at the usual latency, want 20", name, l.Value())
+		}
+		feed(l, 10, 8*usual, false)
+		if l.Value() > 10 {
+			t.Errorf("%s: %d after ten windows at 8 times the latency", name, l.Value())
+		}
+		feed(l, 60, usual, false)
+		if l.Value() != 20 {
+			t.Errorf("%s: %d after sixty windows at the usual latency, want 20", name, l.Value())
+		}
+		feed(l, 10, usual, true)
+		if l.Value() > 10 {
+			t.Errorf("%s: %d after ten windows of shed requests", name, l.Value())
+		}
+	}
+}
+
+func TestNewKnowsItsNames(t *testing.T) {
+	for _, name := range Names() {
+		if l, err := New(name, Bounds{Ceiling: 5}); err != nil || l.Name() != name || l.Value() != 5 {
+			t.Errorf("New(%q) = %v, %v", name, l, err)
+		}
+	}
+	if _, err := New("best", Bounds{}); err == nil {
+		t.Error("New knows a limit that there isn't")
+	}
+}
--- a/process/admission/limit/vegas.go
+++ b/process/admission/limit/vegas.go
@@ -7,7 +7,7 @@
 
 const (
 	// vegasFew and vegasMany bound the queue that the limit aims at, in
-	// multiples of the limit's logarithm.
+	// multiples of the limit's logarithm, which counts as at least 1.
 	vegasFew  = 3
 	vegasMany = 6
 )
@@ -30,7 +30,7 @@
 	if !full {
 		return
 	}
-	step := math.Log10(l.value) + 1
+	step := max(math.Log10(l.value), 1)
 	if closed.dropped > 0 {
 		l.set(l.value - step)
 		return
