Add templates, stamping, changes and the encoded configuration

Cause: operators describe an organisation's services, data centres and limits once and stamp them out per organisation. A bad change must be refused whole, with everything that is wrong in it, before it reaches any node.

Ruled out: strict decoding into Go structs, which stops at the first problem and knows no values of parameters.

Change: typed parameters with default, min, max and allowed values; ${name} references that keep the type of a whole value; organisations that give values; problems gathered with file, line, column and path; host clashes refused; Document with bounded history, gzip and JSON within 1 MiB; Apply as a pure function, once per operation ID; Conflict and Diff for racing operators.

Seen to fail with the mechanism taken out: the look-up of the operation ID, the check of the base version, the raise of the version, the check for host clashes, the bound of the encoded size, the refusal of unclean paths. The early return after a failed stamping can be taken out unseen, since the same problems are returned two lines later.

--- /dev/null
+++ b/version/diff.go
@@ -0,0 +1,115 @@
+package version
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+const (
+	// maxDiffLines bounds how many changed values of one source are shown.
+	maxDiffLines = 8
+	// maxDiffText bounds a shown value, in bytes.
+	maxDiffText = 60
+)
+
+// Diff returns what changed from old to new, one line a change, for people.
+func Diff(old, new Document) []string {
+	lines := diffSources(kindOfTemplate, old.Templates, new.Templates)
+	lines = append(lines, diffSources(kindOfOrganisation, old.Organisations, new.Organisations)...)
+	lines = append(lines, diffNames("data centre", old.DataCentresOut, new.DataCentresOut)...)
+	return append(lines, diffNames("target", old.TargetsOut, new.TargetsOut)...)
+}
+
+func diffNames(what string, old, new []string) []string {
+	var lines []string
+	for _, name := range new {
+		if !contains(old, name) {
+			lines = append(lines, fmt.Sprintf("%s %s: out", what, name))
+		}
+	}
+	for _, name := range old {
+		if !contains(new, name) {
+			lines = append(lines, fmt.Sprintf("%s %s: in", what, name))
+		}
+	}
+	return lines
+}
+
+func diffSources(what string, old, new []Source) []string {
+	var lines []string
+	for _, source := range new {
+		i := findSource(old, source.Name)
+		if i < 0 {
+			lines = append(lines, fmt.Sprintf("%s %s: added", what, source.Name))
+			continue
+		}
+		if old[i].Text != source.Text {
+			lines = append(lines, diffTexts(what+" "+source.Name, old[i], source)...)
+		}
+	}
+	for _, source := range old {
+		if findSource(new, source.Name) < 0 {
+			lines = append(lines, fmt.Sprintf("%s %s: removed", what, source.Name))
+		}
+	}
+	return lines
+}
+
+// diffTexts compares two texts of one source value by value.
+func diffTexts(what string, old, new Source) []string {
+	before, oldPaths := leaves(old)
+	after, newPaths := leaves(new)
+	var lines []string
+	for _, path := range newPaths {
+		text, ok := before[path]
+		if !ok {
+			lines = append(lines, fmt.Sprintf("%s: %s: added %s", what, path, after[path]))
+		} else if text != after[path] {
+			lines = append(lines, fmt.Sprintf("%s: %s: %s -> %s", what, path, text, after[path]))
+		}
+	}
+	for _, path := range oldPaths {
+		if _, ok := after[path]; !ok {
+			lines = append(lines, fmt.Sprintf("%s: %s: removed", what, path))
+		}
+	}
+	if len(lines) == 0 {
+		return []string{what + ": text changed, no value"}
+	}
+	if more := len(lines) - maxDiffLines; more > 0 {
+		lines = append(lines[:maxDiffLines], fmt.Sprintf("%s: %d more changes", what, more))
+	}
+	return lines
+}
+
+// leaves returns the values of a source's text by path, and the paths in the
+// order of the text.
+func leaves(source Source) (texts map[string]string, paths []string) {
+	texts = make(map[string]string)
+	root := parseSource(source, &problems{})
+	if root == nil {
+		return texts, nil
+	}
+	root.flatten(func(path, text string) {
+		texts[path] = shorten(fmt.Sprintf("%q", text), maxDiffText)
+		paths = append(paths, path)
+	})
+	return texts, paths
+}
+
+// shorten cuts a text to at most limit bytes.
+func shorten(text string, limit int) string {
+	const mark = "..."
+	if len(text) <= limit {
+		return text
+	}
+	return strings.ToValidUTF8(text[:limit-len(mark)], "") + mark
+}
+
+// sortedNames returns names sorted and without repetition.
+func sortedNames(names []string) []string {
+	out := slices.Clone(names)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/version/document.go
+++ b/version/document.go
@@ -4,6 +4,10 @@
 	"time"
 )
 
+// HistoryLimit bounds the number of changes that a document remembers. A
+// change that is sent again later than that many changes is applied again.
+const HistoryLimit = 256
+
 // Source is the text of one template or organisation as an operator gave it.
 type Source struct {
 	// Name is the template's or organisation's name.
@@ -26,6 +30,8 @@
 	At time.Time `json:"at"`
 	// Actor is who made the change.
 	Actor string `json:"actor"`
+	// Digest identifies the content of the change.
+	Digest string `json:"digest"`
 	// Summary says what changed, in one line.
 	Summary string `json:"summary"`
 }
@@ -33,6 +39,8 @@
 // Document is the whole configuration: the value of the platform's object
 // "configuration".
 type Document struct {
+	// Format is the number of the form that the document is written in.
+	Format int `json:"format"`
 	// Version grows by one with each accepted change. Zero is the empty document.
 	Version uint64 `json:"version"`
 	// OperationID names the last change.
@@ -52,3 +60,24 @@
 	// History records the latest changes, oldest first, at most HistoryLimit.
 	History []HistoryEntry `json:"history"`
 }
+
+// Applied returns the history's record of an operation, if it has one.
+func (d Document) Applied(operationID string) (HistoryEntry, bool) {
+	for _, entry := range d.History {
+		if entry.OperationID == operationID {
+			return entry, true
+		}
+	}
+	return HistoryEntry{}, false
+}
+
+// Since returns the changes after a version, oldest first, as far as the
+// history reaches.
+func (d Document) Since(version uint64) []HistoryEntry {
+	for i, entry := range d.History {
+		if entry.Version > version {
+			return d.History[i:]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/version/fuzz_test.go
@@ -0,0 +1,50 @@
+package version
+
+import (
+	"bytes"
+	"compress/gzip"
+	"strings"
+	"testing"
+)
+
+func FuzzValidate(f *testing.F) {
+	f.Add(smallTemplate + "---\n" + smallOrganisation)
+	f.Add("kind: organisation\nname: ${x}\n--- [\n")
+	f.Add("a: |\n  ${\n...\n? {b: c}\n: !!int 3\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		err := Validate([]File{{"f.yaml", text}})
+		if err != nil && !strings.HasPrefix(err.Error(), "f.yaml:") {
+			t.Fatalf("an error without its file: %v", err)
+		}
+		doc, applyErr := Apply(Document{}, Change{OperationID: "x", Files: []File{{"f.yaml", text}}}, testTime, "a")
+		if (err == nil) != (applyErr == nil) {
+			t.Fatalf("validate says %v, apply says %v", err, applyErr)
+		}
+		if applyErr != nil {
+			return
+		}
+		if _, err := Compile(doc); err != nil {
+			t.Fatalf("accepted and does not compile: %v", err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"format":1,"version":3,"templates":[{"name":"a","text":"kind: template"}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var packed bytes.Buffer
+		w := gzip.NewWriter(&packed)
+		_, _ = w.Write(text)
+		_ = w.Close()
+		for _, data := range [][]byte{text, packed.Bytes()} {
+			doc, err := Decode(data)
+			if err != nil {
+				continue
+			}
+			_, _ = Compile(doc)
+			if _, err := doc.Encode(); err != nil {
+				t.Fatalf("decoded and can't be encoded: %v", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/version/parameter.go
@@ -0,0 +1,207 @@
+package version
+
+import (
+	"strings"
+)
+
+// parameterType is the type of a template's parameter.
+type parameterType string
+
+const (
+	typeString   parameterType = "string"
+	typeInteger  parameterType = "integer"
+	typeNumber   parameterType = "number"
+	typeDuration parameterType = "duration"
+	typeBoolean  parameterType = "boolean"
+	typeStrings  parameterType = "strings"
+)
+
+var parameterTypes = []string{
+	string(typeString), string(typeInteger), string(typeNumber),
+	string(typeDuration), string(typeBoolean), string(typeStrings),
+}
+
+// ordered reports whether values of the type may have a min and a max.
+func (t parameterType) ordered() bool {
+	return t == typeInteger || t == typeNumber || t == typeDuration
+}
+
+// parameter is a declared parameter of a template.
+type parameter struct {
+	name     string
+	kind     parameterType
+	required bool
+	fallback *value
+	min      *value
+	max      *value
+	allowed  []*value
+}
+
+// readParameter reads the declaration of one parameter.
+func readParameter(f field, ps *problems) *parameter {
+	if !validParameterName(f.key) {
+		ps.at(f.place, "%q is not a parameter name of lower-case letters, digits and underscores", f.key)
+	}
+	r := newReader(f.value, ps)
+	p := &parameter{name: f.key, kind: parameterType(r.text("type"))}
+	r.text("description")
+	p.required = r.boolean("required", false)
+	p.fallback = r.field("default")
+	p.min = r.field("min")
+	p.max = r.field("max")
+	p.allowed = r.list("allowed")
+	r.done()
+	r.require("type")
+	if !r.has("type") {
+		return p
+	}
+	if !contains(parameterTypes, string(p.kind)) {
+		ps.at(r.where("type"), "%q is not a type; types are %s", p.kind, strings.Join(parameterTypes, ", "))
+		return p
+	}
+	p.checkDeclaration(r, ps)
+	return p
+}
+
+// checkDeclaration checks that the fields of a declaration fit each other.
+func (p *parameter) checkDeclaration(r *reader, ps *problems) {
+	if p.required == (p.fallback != nil) {
+		ps.at(r.value.place, "the parameter needs either a default or required: true")
+	}
+	if !p.kind.ordered() && (p.min != nil || p.max != nil) {
+		ps.at(r.value.place, "a parameter of type %s has no min and max", p.kind)
+		p.min, p.max = nil, nil
+	}
+	for _, bound := range []*value{p.min, p.max} {
+		if bound != nil {
+			checkType(bound, p.kind, ps)
+		}
+	}
+	for _, item := range p.allowed {
+		checkType(item, p.itemType(), ps)
+	}
+	if p.min != nil && p.max != nil && less(p.max, p.min) {
+		ps.at(p.min.place, "min %s is above max %s", p.min.scalar(), p.max.scalar())
+	}
+	if p.fallback != nil {
+		p.check(p.fallback, ps)
+	}
+}
+
+// itemType is the type that the allowed values have.
+func (p *parameter) itemType() parameterType {
+	if p.kind == typeStrings {
+		return typeString
+	}
+	return p.kind
+}
+
+// check adds a problem if v is no value for the parameter.
+func (p *parameter) check(v *value, ps *problems) {
+	if !checkType(v, p.kind, ps) {
+		return
+	}
+	if p.min != nil && less(v, p.min) {
+		ps.at(v.place, "%s is %s, below its min %s", p.name, v.scalar(), p.min.scalar())
+	}
+	if p.max != nil && less(p.max, v) {
+		ps.at(v.place, "%s is %s, above its max %s", p.name, v.scalar(), p.max.scalar())
+	}
+	items := []*value{v}
+	if p.kind == typeStrings {
+		items = v.items
+	}
+	for _, item := range items {
+		p.checkAllowed(item, ps)
+	}
+}
+
+func (p *parameter) checkAllowed(v *value, ps *problems) {
+	if len(p.allowed) == 0 {
+		return
+	}
+	texts := make([]string, len(p.allowed))
+	for i, allowed := range p.allowed {
+		if !less(v, allowed) && !less(allowed, v) {
+			return
+		}
+		texts[i] = allowed.scalar()
+	}
+	ps.at(v.place, "%s is %q; allowed are %s", p.name, v.scalar(), strings.Join(texts, ", "))
+}
+
+// checkType reports whether v has the type, and adds a problem if not.
+func checkType(v *value, want parameterType, ps *problems) bool {
+	if hasType(v, want) {
+		return true
+	}
+	ps.at(v.place, "want %s, got %s", wanted[want], describe(v))
+	return false
+}
+
+// wanted names the types in messages.
+var wanted = map[parameterType]string{
+	typeString:   "a string",
+	typeInteger:  "an integer",
+	typeNumber:   "a number",
+	typeDuration: "a duration with its unit such as 250ms",
+	typeBoolean:  "true or false",
+	typeStrings:  "a list of strings",
+}
+
+func hasType(v *value, want parameterType) bool {
+	switch want {
+	case typeString:
+		return v.kind == kindString
+	case typeInteger:
+		return v.kind == kindInteger
+	case typeNumber:
+		return v.kind == kindInteger || v.kind == kindNumber
+	case typeDuration:
+		_, ok := v.asDuration()
+		return ok
+	case typeBoolean:
+		return v.kind == kindBoolean
+	case typeStrings:
+		return isStrings(v)
+	}
+	return false
+}
+
+func isStrings(v *value) bool {
+	if v.kind != kindList {
+		return false
+	}
+	for _, item := range v.items {
+		if item.kind != kindString {
+			return false
+		}
+	}
+	return true
+}
+
+// less orders two values of the same type: durations and numbers by size, all
+// else by text.
+func less(a, b *value) bool {
+	if x, ok := a.asNumber(); ok {
+		y, ok := b.asNumber()
+		return ok && x < y
+	}
+	if x, ok := a.asDuration(); ok {
+		y, ok := b.asDuration()
+		return ok && x < y
+	}
+	return a.scalar() < b.scalar()
+}
+
+func validParameterName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	for _, c := range []byte(name) {
+		if !isNameByte(c) && c != '_' || c == '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/version/reader.go
@@ -0,0 +1,233 @@
+package version
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
+
+// reader reads the fields of one map, each with its type and range, and adds
+// a problem for each field that is missing, wrong or unknown.
+type reader struct {
+	value    *value
+	problems *problems
+	known    []string
+}
+
+// newReader returns a reader of v. A value that is not a map is a problem, and
+// is read as an empty map.
+func newReader(v *value, ps *problems) *reader {
+	if v.kind != kindMap {
+		if v.kind != kindUnset {
+			ps.at(v.place, "want a map, got %s", describe(v))
+		}
+		v = &value{place: v.place, kind: kindUnset}
+	}
+	return &reader{value: v, problems: ps}
+}
+
+// describe names a value's type, and its text if that is short.
+func describe(v *value) string {
+	const maxText = 40
+	text := v.scalar()
+	if v.kind == kindList || v.kind == kindMap || v.kind == kindNull || len(text) > maxText {
+		return v.kind.String()
+	}
+	return fmt.Sprintf("%s %q", v.kind, text)
+}
+
+// field returns the value of a field, or nil if it is absent, null or unset.
+func (r *reader) field(name string) *value {
+	if !contains(r.known, name) {
+		r.known = append(r.known, name)
+	}
+	v := r.value.get(name)
+	if v == nil || v.kind == kindNull || v.kind == kindUnset {
+		return nil
+	}
+	return v
+}
+
+// has reports whether the field is there, be it unset.
+func (r *reader) has(name string) bool {
+	v := r.value.get(name)
+	return v != nil && v.kind != kindNull
+}
+
+// require adds a problem if the field is absent.
+func (r *reader) require(name string) {
+	if r.value.kind == kindMap && !r.has(name) {
+		r.problems.at(r.value.place, "the field %s is missing", name)
+	}
+}
+
+// where returns the place of a field's value, or else of the map.
+func (r *reader) where(name string) place {
+	if v := r.value.get(name); v != nil {
+		return v.place
+	}
+	return r.value.place
+}
+
+// done adds a problem for each field that was not read.
+func (r *reader) done() {
+	for _, f := range r.value.fields {
+		if !contains(r.known, f.key) {
+			r.problems.at(f.place, "unknown field; known are %s", strings.Join(r.known, ", "))
+		}
+	}
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// text reads a string field.
+func (r *reader) text(name string) string {
+	v := r.field(name)
+	if v == nil {
+		return ""
+	}
+	return textOf(v, r.problems)
+}
+
+func textOf(v *value, ps *problems) string {
+	if v.kind != kindString {
+		ps.at(v.place, "want a string, got %s", describe(v))
+		return ""
+	}
+	return v.text
+}
+
+// name reads a required field that is a name.
+func (r *reader) name(name string) string {
+	r.require(name)
+	text := r.text(name)
+	if text != "" && !validName(text) {
+		r.problems.at(r.where(name), "%q is not a name of lower-case letters, digits and inner hyphens, up to %d", text, maxNameBytes)
+	}
+	if v := r.value.get(name); text == "" && v != nil && v.kind == kindString {
+		r.problems.at(v.place, "the name is empty")
+	}
+	return text
+}
+
+// boolean reads a boolean field.
+func (r *reader) boolean(name string, fallback bool) bool {
+	v := r.field(name)
+	if v == nil {
+		return fallback
+	}
+	if v.kind != kindBoolean {
+		r.problems.at(v.place, "want true or false, got %s", describe(v))
+		return fallback
+	}
+	return v.boolean
+}
+
+// integer reads an integer field within a range.
+func (r *reader) integer(name string, fallback, low, high int64) int64 {
+	v := r.field(name)
+	if v == nil {
+		return fallback
+	}
+	if v.kind != kindInteger {
+		r.problems.at(v.place, "want an integer, got %s", describe(v))
+		return fallback
+	}
+	if v.integer < low || v.integer > high {
+		r.problems.at(v.place, "%d is not from %d to %d", v.integer, low, high)
+		return fallback
+	}
+	return v.integer
+}
+
+// number reads a number field within a range.
+func (r *reader) number(name string, fallback, low, high float64) float64 {
+	v := r.field(name)
+	if v == nil {
+		return fallback
+	}
+	number, ok := v.asNumber()
+	if !ok || math.IsNaN(number) {
+		r.problems.at(v.place, "want a number, got %s", describe(v))
+		return fallback
+	}
+	if number < low || number > high {
+		r.problems.at(v.place, "%v is not from %v to %v", number, low, high)
+		return fallback
+	}
+	return number
+}
+
+// duration reads a duration field such as "250ms" within a range.
+func (r *reader) duration(name string, fallback, low, high time.Duration) time.Duration {
+	v := r.field(name)
+	if v == nil {
+		return fallback
+	}
+	duration, ok := v.asDuration()
+	if !ok {
+		r.problems.at(v.place, "want a duration with its unit such as 250ms, got %s", describe(v))
+		return fallback
+	}
+	if duration < low || duration > high {
+		r.problems.at(v.place, "%s is not from %s to %s", duration, low, high)
+		return fallback
+	}
+	return duration
+}
+
+// strings reads a list of strings without repetition.
+func (r *reader) strings(name string) []string {
+	var texts []string
+	for _, item := range r.list(name) {
+		if item.kind == kindUnset {
+			continue
+		}
+		text := textOf(item, r.problems)
+		if contains(texts, text) {
+			r.problems.at(item.place, "%q stands twice in the list", text)
+		}
+		texts = append(texts, text)
+	}
+	return texts
+}
+
+// list reads a list field.
+func (r *reader) list(name string) []*value {
+	v := r.field(name)
+	if v == nil {
+		return nil
+	}
+	if v.kind != kindList {
+		r.problems.at(v.place, "want a list, got %s", describe(v))
+		return nil
+	}
+	return v.items
+}
+
+// nonEmptyList reads a required list field with at least one item.
+func (r *reader) nonEmptyList(name string) []*value {
+	r.require(name)
+	items := r.list(name)
+	if v := r.value.get(name); v != nil && v.kind == kindList && len(items) == 0 {
+		r.problems.at(v.place, "the list is empty")
+	}
+	return items
+}
+
+// child returns a reader of a map field. An absent field reads as empty.
+func (r *reader) child(name string) *reader {
+	v := r.field(name)
+	if v == nil {
+		v = &value{place: r.where(name), kind: kindUnset}
+	}
+	return newReader(v, r.problems)
+}
--- /dev/null
+++ b/version/substitute.go
@@ -0,0 +1,137 @@
+package version
+
+import (
+	"strings"
+)
+
+// substitution puts values in place of the references ${name} in a template's
+// body. A scalar that is one reference takes the value with its type; a
+// reference inside a longer string takes the value's text. "$${" stands for
+// "${".
+type substitution struct {
+	values   map[string]*value
+	problems *problems
+}
+
+// apply returns v with its references replaced. v itself is not changed.
+func (s *substitution) apply(v *value) *value {
+	switch v.kind {
+	case kindString:
+		return s.text(v)
+	case kindList:
+		return s.list(v)
+	case kindMap:
+		return s.fields(v)
+	}
+	return v
+}
+
+func (s *substitution) list(v *value) *value {
+	out := *v
+	out.items = make([]*value, len(v.items))
+	for i, item := range v.items {
+		out.items[i] = s.apply(item)
+	}
+	return &out
+}
+
+func (s *substitution) fields(v *value) *value {
+	out := *v
+	out.fields = make([]field, len(v.fields))
+	for i, f := range v.fields {
+		out.fields[i] = field{key: f.key, place: f.place, value: s.apply(f.value)}
+	}
+	return &out
+}
+
+func (s *substitution) text(v *value) *value {
+	if name, ok := wholeReference(v.text); ok {
+		return s.whole(v, name)
+	}
+	out := *v
+	text, unset := s.expand(v)
+	out.text = text
+	if unset {
+		out = value{place: v.place, kind: kindUnset}
+	}
+	return &out
+}
+
+// whole returns the referenced value at the place of the reference.
+func (s *substitution) whole(v *value, name string) *value {
+	given, ok := s.values[name]
+	if !ok {
+		s.problems.at(v.place, "the template has no parameter %q", name)
+		return &value{place: v.place, kind: kindUnset}
+	}
+	where := v.place
+	where.from = "the value of " + name + " at " + given.place.String()
+	return moved(given, where)
+}
+
+// moved returns v, and all that it holds, at another place.
+func moved(v *value, where place) *value {
+	out := *v
+	out.place = where
+	out.items = make([]*value, len(v.items))
+	for i, item := range v.items {
+		out.items[i] = moved(item, where)
+	}
+	return &out
+}
+
+// wholeReference returns the name if text is one reference and nothing else.
+func wholeReference(text string) (string, bool) {
+	rest, ok := strings.CutPrefix(text, "${")
+	if !ok {
+		return "", false
+	}
+	name, rest, ok := strings.Cut(rest, "}")
+	return name, ok && rest == ""
+}
+
+// expand replaces the references inside a string. It reports whether one of
+// them is unset.
+func (s *substitution) expand(v *value) (text string, unset bool) {
+	var out strings.Builder
+	rest := v.text
+	for {
+		before, after, found := strings.Cut(rest, "${")
+		if !found {
+			out.WriteString(rest)
+			return out.String(), unset
+		}
+		if literal, ok := strings.CutSuffix(before, "$"); ok {
+			out.WriteString(literal + "${")
+			rest = after
+			continue
+		}
+		name, tail, closed := strings.Cut(after, "}")
+		if !closed {
+			s.problems.at(v.place, "a reference ${ is not closed by }")
+			return v.text, unset
+		}
+		out.WriteString(before)
+		part, ok := s.part(v, name)
+		out.WriteString(part)
+		unset = unset || !ok
+		rest = tail
+	}
+}
+
+// part returns the text of a parameter for use inside a string.
+func (s *substitution) part(v *value, name string) (text string, ok bool) {
+	given, ok := s.values[name]
+	if !ok {
+		s.problems.at(v.place, "the template has no parameter %q", name)
+		return "", false
+	}
+	switch given.kind {
+	case kindUnset:
+		return "", false
+	case kindList, kindMap:
+		s.problems.at(v.place, "the list ${%s} can't stand inside a string", name)
+		return "", false
+	}
+	return given.scalar(), true
+}
