Add the deciding core of ownership: leases, witnesses, claims, takeover

Non-idempotent operations must run at most once through pauses, kills, cuts and outages of the platform. This adds the I/O-free core: the assignment that the platform's object holds, witnesses, leases, the fence on key times, the claim table, takeover by conditional write, planned handover, and the change of witnesses in two steps.

--- /dev/null
+++ b/process/ownership/fence/fence.go
@@ -0,0 +1,67 @@
+// Package fence decides by the time in a key whether a former owner may have
+// run it.
+//
+// A UUIDv7 key carries the wall-clock time at which its caller made it; the
+// key is dated. Any other key is undated. An owner runs dated keys up to its
+// wall clock plus the skew, so a successor that begins later knows by the time
+// alone that no predecessor ran a key past its begin plus twice the skew.
+package fence
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	uuidLength  = 36
+	datedUUID   = 7
+	bitsBelowMS = 16
+)
+
+// KeyTime returns the time in a UUIDv7 key, in whole milliseconds. It reports
+// false for an undated key.
+func KeyTime(key string) (time.Time, bool) {
+	if len(key) != uuidLength {
+		return time.Time{}, false
+	}
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != datedUUID || id.Variant() != uuid.RFC4122 {
+		return time.Time{}, false
+	}
+	var bits uint64
+	for _, b := range id[:8] {
+		bits = bits<<8 | uint64(b)
+	}
+	return time.UnixMilli(int64(bits >> bitsBelowMS)), true
+}
+
+// Fence tells which keys a former owner may have run. The zero value says
+// that there was no former owner.
+type Fence struct {
+	// Dated is the last key time that a former owner may have run.
+	Dated time.Time
+	// Undated is the wall-clock time until which undated keys that a former
+	// owner ran may be sent again.
+	Undated time.Time
+}
+
+// After returns the fence of an owner whose tenure began at begin, without
+// knowledge of what its predecessor ran.
+func After(begin time.Time, skew, resendWindow time.Duration) Fence {
+	return Fence{
+		Dated:   begin.Add(2 * skew),
+		Undated: begin.Add(resendWindow + 2*skew),
+	}
+}
+
+// HidesDated reports whether a former owner may have run a key of that time.
+func (f Fence) HidesDated(keyTime time.Time) bool {
+	return !f.Dated.IsZero() && !keyTime.After(f.Dated)
+}
+
+// HidesUndated reports whether, at the wall-clock time now, an undated key may
+// be one that a former owner ran.
+func (f Fence) HidesUndated(now time.Time) bool {
+	return !f.Undated.IsZero() && !now.After(f.Undated)
+}
--- /dev/null
+++ b/process/ownership/partition.go
@@ -0,0 +1,133 @@
+package ownership
+
+import (
+	"sync"
+	"time"
+
+	"verbenatrestle/process/ownership/assignment"
+	"verbenatrestle/process/ownership/claim"
+	"verbenatrestle/process/ownership/fence"
+	"verbenatrestle/process/ownership/internal/rule"
+	"verbenatrestle/process/ownership/lease"
+	"verbenatrestle/process/ownership/message"
+)
+
+// partition is this node's part in one partition of a service.
+type partition struct {
+	number int
+
+	// mu guards what follows.
+	mu sync.Mutex
+	// table holds the claims. It is made with the first tenure.
+	table *claim.Table
+	// forgotten is the latest wall-clock time at which claims were forgotten.
+	forgotten time.Time
+	// tenure is the tenure that this process has, or 0.
+	tenure uint64
+	// begun is true once the tenure had a lease, first at begin.
+	begun bool
+	begin time.Duration
+	// inherited is true if the fence came with the predecessor's claims.
+	inherited bool
+	fence     fence.Fence
+	lease     *lease.Lease
+	// stopped is true while the partition is handed over to successor.
+	stopped   bool
+	successor string
+	// outgoing is the transfer to the successor, incoming one that arrives.
+	outgoing *outgoing
+	incoming *incoming
+	// tail forwards the ends of runs that were going on at a handover.
+	tail *tail
+}
+
+// enter begins to try for a tenure that the assignment gives to this process.
+// The caller holds p.mu.
+func (c *Core) enter(s *service, p *partition, a *assignment.Assignment, now Clock) {
+	assigned := a.Partitions[p.number]
+	p.tenure = assigned.Tenure
+	p.begun = false
+	p.inherited = false
+	p.stopped = false
+	p.successor = ""
+	p.outgoing = nil
+	p.lease = lease.New(c.timing.Lease())
+	p.lease.SetWitnesses(a.Witnesses, a.PreviousWitnesses)
+	if p.table == nil {
+		p.table = claim.NewTable(c.limits, c.incarnation)
+	}
+	p.adopt(assigned.Handover, c.without)
+	c.beats.next = min(c.beats.next, now.Mono)
+}
+
+// leave ends the tenure of this process. The caller holds p.mu.
+func (c *Core) leave(s *service, p *partition, assigned assignment.Partition, out *Output) {
+	handed := p.outgoing != nil && assigned.Handover != nil &&
+		assigned.Handover.Transfer == p.outgoing.transfer
+	if handed {
+		c.beats.release(message.Release{Service: s.id, Partition: p.number, Tenure: p.tenure})
+		c.spread(s, p.outgoing.to, out)
+	} else if p.outgoing != nil {
+		p.tail = nil
+	}
+	p.tenure = 0
+	p.begun = false
+	p.stopped = false
+	p.outgoing = nil
+}
+
+// start begins the tenure if it has its first lease. The caller holds p.mu.
+func (c *Core) start(s *service, p *partition, now Clock) {
+	if p.begun || !p.lease.Valid(now.Mono) {
+		return
+	}
+	p.begun = true
+	p.begin = now.Mono
+	if p.inherited {
+		return
+	}
+	p.fence = fence.Fence{}
+	if p.tenure > 1 {
+		p.fence = fence.After(now.Wall, c.timing.Skew, s.window())
+	}
+}
+
+// fenceBefore fences all dated keys up to a time. The caller holds p.mu.
+func (p *partition) fenceBefore(keyTime time.Time) {
+	if keyTime.After(p.fence.Dated) {
+		p.fence.Dated = keyTime
+	}
+}
+
+// expire forgets claims whose keys can't be run any more. The caller holds p.mu.
+func (p *partition) expire(now time.Time) {
+	if p.table == nil || !now.After(p.forgotten) {
+		return
+	}
+	p.forgotten = now
+	p.table.Expire(now)
+}
+
+// notBeforeForgotten returns now, or the time at which claims were last
+// forgotten if that is later. A reading taken before a pause must not admit a
+// key whose claim was forgotten meanwhile. The caller holds p.mu.
+func (p *partition) notBeforeForgotten(now time.Time) time.Time {
+	if p.forgotten.After(now) {
+		return p.forgotten
+	}
+	return now
+}
+
+// hasLease reports whether operations may be taken on at now. The caller holds
+// p.mu.
+func (p *partition) hasLease(now time.Duration, without rule.Set) bool {
+	if without.Has(rule.Lease) {
+		return p.begun
+	}
+	return p.begun && now >= p.begin && p.lease.Valid(now)
+}
+
+// isMyLife reports whether an incarnation is this process.
+func (c *Core) isMyLife(incarnation uint64) bool {
+	return incarnation == c.incarnation || c.without.Has(rule.NewIncarnation)
+}
--- a/process/ownership/runner.go
+++ b/process/ownership/runner.go
@@ -34,14 +34,6 @@
 	Random *rand.Rand
 }
 
-// Limits bounds the memory that a node spends on claims.
-type Limits struct {
-	// Claims is the most claims kept for a partition.
-	Claims int
-	// AnswerBytes is the most bytes of answers kept for a partition.
-	AnswerBytes int
-}
-
 // Runner keeps a node's part in ownership going: it owns the goroutines, the
 // clock and the calls to platform and peers, and leaves decisions to Core.
 type Runner struct{}
