Add peer links on gnet with WebSocket frames and CBOR messages

Cause: nodes need one authenticated link for each pair that talks, which never blocks a sender and notices a frozen peer.

Ruled out: a gnet client beside the server (a second event loop for nothing: the engine takes dialled connections as well); the round-robin balancer of gnet, whose counter races when dials register links at once (seen under -race).

Change: connection/peerlink with Links, Options, Limits, Handler and a state dump.

Seen to fail with the mechanism taken out: nonce memory, nonces kept for one window only, signature check, clock window, silence timeout, pings, queue bound, inbox bound, frame limit, header size, crossing dials, handshake timeout, bound on pending connections, replacement by a restarted peer. Each failed its test.

Conclusion: the links hold their bounds in the tests; no encryption yet.

--- /dev/null
+++ b/connection/peerlink/dial.go
@@ -0,0 +1,110 @@
+package peerlink
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/gobwas/ws"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+)
+
+// dial opens a link to a peer and blocks until that is done or has failed.
+func (l *Links) dial(p *peer) {
+	err := l.dialOnce(p)
+	if err == nil {
+		p.dialDone()
+		return
+	}
+	now := time.Now()
+	if errors.Is(err, ws.StatusError(http.StatusConflict)) && p.dialRefused(now, l.opts.Limits) {
+		return
+	}
+	err = errors.Wrapf(err, "dial peer %s", p.name)
+	dropped := p.dialFailed(now, err, l.opts.Limits, rand.Float64())
+	l.counts.dialsFailed.Inc(1)
+	l.counts.queueDrops.Inc(int64(dropped))
+	l.logBad("dial peer", p.name, err)
+}
+
+// dialOnce dials, shakes hands and gives the connection to the event loop.
+func (l *Links) dialOnce(p *peer) error {
+	address, ok := l.opts.Resolve(p.name)
+	if !ok {
+		return errors.New("resolve: address is not known")
+	}
+	timeout := l.opts.Limits.HandshakeTimeout
+	conn, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
+		_ = conn.Close()
+		return errors.Wrapf(err, "set deadline on %s", address)
+	}
+	instance, err := l.greet(conn, p.name, address)
+	if err != nil {
+		_ = conn.Close()
+		return errors.Wrapf(err, "handshake with %s", address)
+	}
+	return l.enroll(conn, &link{remote: address, opened: time.Now(), dialled: true, peer: p, instance: instance})
+}
+
+// greet does the WebSocket handshake and returns the peer's instance.
+func (l *Links) greet(conn net.Conn, name, address string) (string, error) {
+	own := hello{
+		node:     l.opts.Self,
+		peer:     name,
+		instance: l.instance,
+		millis:   time.Now().UnixMilli(),
+		nonce:    newNonce(),
+	}
+	own.signature = own.sign(l.opts.Key, roleDialler)
+	var answer hello
+	dialer := ws.Dialer{
+		Header:   ws.HandshakeHeaderHTTP(own.header()),
+		OnHeader: func(key, value []byte) error { return answer.set(string(key), string(value)) },
+	}
+	target := &url.URL{Scheme: "ws", Host: address, Path: "/"}
+	if _, _, err := dialer.Upgrade(singleByteReader{conn}, target); err != nil {
+		return "", err
+	}
+	if answer.node != name || answer.peer != own.node || answer.nonce != own.nonce {
+		return "", errors.Errorf("answer is from %q to %q, not from %q", answer.node, answer.peer, name)
+	}
+	return answer.instance, answer.verify(l.opts.Key, roleListener)
+}
+
+// enroll gives a connection to the event loop, which then opens the link.
+func (l *Links) enroll(conn net.Conn, k *link) error {
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		_ = conn.Close()
+		return errors.Wrap(err, "clear deadline")
+	}
+	ctx := gnet.NewContext(gnet.NewNetConnContext(context.Background(), conn), k)
+	done, err := l.engine.Register(ctx)
+	if err != nil {
+		_ = conn.Close()
+		return errors.Wrap(err, "register with the event loop")
+	}
+	result := <-done
+	return errors.Wrap(result.Err, "register with the event loop")
+}
+
+// singleByteReader reads one byte at a time, so that the handshake's buffered
+// reader never takes bytes of the frames that follow the handshake.
+type singleByteReader struct {
+	net.Conn
+}
+
+var _ io.ReadWriter = singleByteReader{}
+
+// Read reads at most one byte.
+func (r singleByteReader) Read(p []byte) (int, error) {
+	return r.Conn.Read(p[:min(1, len(p))])
+}
--- a/connection/peerlink/links.go
+++ b/connection/peerlink/links.go
@@ -1,10 +1,47 @@
 package peerlink
 
-import "context"
+import (
+	"context"
+	"sync"
+	"time"
 
-// Links holds this node's links to its peers.
+	"github.com/go-kit/log"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// Bounds that are no settings.
+const (
+	// eventLoops is how many gnet loops read and write.
+	eventLoops = 1
+	// sweepInterval is how often links are looked over.
+	sweepInterval = 50 * time.Millisecond
+	// badLogsPerSecond bounds the log lines about strangers on the port.
+	badLogsPerSecond = 10
+	// farewell is how long Stop waits for peers to answer the close frames.
+	farewell = 500 * time.Millisecond
+)
+
+// Links holds this node's links to its peers. It is safe for concurrent use.
 type Links struct {
-	opts Options
+	opts     Options
+	logger   log.Logger
+	badLogs  *rate.Limiter
+	counts   *counters
+	nonces   *nonces
+	instance string
+
+	engine gnet.Engine
+	booted chan struct{}
+	boot   sync.Once
+	ended  chan error
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	links   map[*link]struct{}
+	pending int
+	running bool
 }
 
 // New returns links that are not started yet.
@@ -13,15 +50,183 @@
 		return nil, err
 	}
 	opts.Limits = opts.Limits.withDefaults()
-	return &Links{opts: opts}, nil
+	if opts.Logger == nil {
+		opts.Logger = log.NewNopLogger()
+	}
+	return &Links{
+		opts:     opts,
+		logger:   log.With(opts.Logger, "part", "peerlink"),
+		badLogs:  rate.NewLimiter(badLogsPerSecond, badLogsPerSecond),
+		counts:   newCounters(opts.Metrics),
+		nonces:   newNonces(opts.Limits.MaxNonces),
+		instance: newNonce(),
+		booted:   make(chan struct{}),
+		ended:    make(chan error, 1),
+		peers:    make(map[string]*peer),
+		links:    make(map[*link]struct{}),
+	}, nil
 }
 
-// Start opens the listener.
-func (l *Links) Start() error { return nil }
+// Start opens the listener and returns when it takes connections.
+func (l *Links) Start() error {
+	go func() {
+		l.ended <- gnet.Run(&events{links: l}, "tcp://"+l.opts.ListenAddress,
+			gnet.WithNumEventLoop(eventLoops),
+			// The other balancers write to shared fields without a lock when
+			// dials register links at once.
+			gnet.WithLoadBalancing(gnet.SourceAddrHash),
+			gnet.WithTicker(true),
+			gnet.WithReuseAddr(true),
+			gnet.WithLogger(engineLogger{l.logger}))
+	}()
+	select {
+	case <-l.booted:
+		return nil
+	case err := <-l.ended:
+		return errors.Wrapf(err, "listen for peers on %s", l.opts.ListenAddress)
+	}
+}
+
+// began notes that the engine runs.
+func (l *Links) began() {
+	l.mu.Lock()
+	l.running = true
+	l.mu.Unlock()
+	close(l.booted)
+}
+
+// Stop closes every link in order, then the listener. Messages that wait are
+// sent as far as the time allows.
+func (l *Links) Stop(ctx context.Context) error {
+	l.mu.Lock()
+	l.running = false
+	l.mu.Unlock()
+	now := time.Now()
+	for _, k := range l.openLinks() {
+		k.part(now, ErrStopped)
+	}
+	l.awaitClosed(ctx, now.Add(farewell))
+	return errors.Wrap(l.engine.Stop(ctx), "stop peer links")
+}
 
-// Stop closes the listener and every link.
-func (l *Links) Stop(ctx context.Context) error { return nil }
+// awaitClosed waits until no link is open, the context ends or time is up.
+func (l *Links) awaitClosed(ctx context.Context, until time.Time) {
+	ticker := time.NewTicker(sweepInterval / 5)
+	defer ticker.Stop()
+	for len(l.openLinks()) > 0 && time.Now().Before(until) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
 
 // Send queues a message for a peer and opens the link when needed. It never
-// blocks.
-func (l *Links) Send(to string, message any) error { return nil }
+// blocks. An error means that the message was dropped; nil doesn't mean that
+// it will arrive.
+func (l *Links) Send(to string, message any) error {
+	data, err := l.opts.Codec.Encode(message)
+	if err != nil {
+		return errors.Wrapf(err, "send to %s", to)
+	}
+	if len(data) > l.opts.Limits.MaxMessageBytes {
+		return errors.Errorf("send to %s: %T has %d bytes, the limit is %d", to, message, len(data), l.opts.Limits.MaxMessageBytes)
+	}
+	if err := l.enqueue(to, data); err != nil {
+		l.counts.queueDrops.Inc(1)
+		return errors.Wrapf(err, "send to %s", to)
+	}
+	l.counts.message("out", message, len(data))
+	return nil
+}
+
+// enqueue queues an encoded message and sees to it that a link takes it.
+func (l *Links) enqueue(to string, data []byte) error {
+	p, err := l.peer(to)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.forgotten {
+		return errors.New("peer was forgotten just now")
+	}
+	if p.link == nil && !p.dialling && now.Before(p.nextDial) && p.conflicts == 0 {
+		return errors.Errorf("the last dial failed, the next is in %s", p.nextDial.Sub(now))
+	}
+	if err := p.push(data, l.opts.Limits); err != nil {
+		return err
+	}
+	if p.link != nil {
+		p.link.wake()
+	}
+	if p.startDial(now) {
+		go l.dial(p)
+	}
+	return nil
+}
+
+// peer returns the entry of a peer, made when there is none.
+func (l *Links) peer(name string) (*peer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.running {
+		return nil, ErrStopped
+	}
+	if name == l.opts.Self {
+		return nil, errors.New("no link to this node itself")
+	}
+	p, ok := l.peers[name]
+	if !ok {
+		p = &peer{name: name}
+		p.inbox.limits = l.opts.Limits
+		p.inbox.handle = func(e event) { l.handle(p, e) }
+		l.peers[name] = p
+	}
+	return p, nil
+}
+
+// openLinks returns all connections, also those in their handshake.
+func (l *Links) openLinks() []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	links := make([]*link, 0, len(l.links))
+	for k := range l.links {
+		links = append(links, k)
+	}
+	return links
+}
+
+// handle passes an event of a peer to the handler.
+func (l *Links) handle(p *peer, e event) {
+	switch {
+	case e.up:
+		l.opts.Handler.LinkUp(p.name)
+	case e.down:
+		l.opts.Handler.LinkDown(p.name, e.err)
+	default:
+		l.receive(p, e)
+	}
+}
+
+// receive decodes a message and passes it to the handler.
+func (l *Links) receive(p *peer, e event) {
+	message, err := l.opts.Codec.Decode(e.data)
+	if err != nil {
+		l.counts.framesBad.Inc(1)
+		l.logBad("decode message", p.name, err)
+		e.from.fail(time.Now(), errors.Wrapf(err, "message from %s", p.name))
+		return
+	}
+	l.counts.message("in", message, len(e.data))
+	l.opts.Handler.HandleMessage(p.name, message)
+}
+
+// logBad logs what a stranger or a broken peer did, at a bounded rate.
+func (l *Links) logBad(step, peer string, err error) {
+	if l.badLogs.Allow() {
+		_ = l.logger.Log("level", "error", "step", step, "peer", peer, "err", err)
+	}
+}
--- /dev/null
+++ b/connection/peerlink/nonces.go
@@ -0,0 +1,52 @@
+package peerlink
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// nonces remembers the nonces of handshakes for the clock window, so that a
+// recorded handshake can't be used again.
+type nonces struct {
+	mu     sync.Mutex
+	limit  int
+	seen   map[string]struct{}
+	oldest []seenNonce
+}
+
+// seenNonce is a nonce with the moment from which it may be forgotten.
+type seenNonce struct {
+	nonce  string
+	expiry time.Time
+}
+
+func newNonces(limit int) *nonces {
+	return &nonces{limit: limit, seen: make(map[string]struct{})}
+}
+
+// use records a nonce for keep. It fails on a nonce that was used, and when
+// the memory is full: refusing a handshake is safe, forgetting one isn't.
+func (n *nonces) use(nonce string, now time.Time, keep time.Duration) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forget(now)
+	if _, ok := n.seen[nonce]; ok {
+		return errors.New("nonce was used before")
+	}
+	if len(n.seen) >= n.limit {
+		return errors.Errorf("%d nonces are remembered, no room for more", n.limit)
+	}
+	n.seen[nonce] = struct{}{}
+	n.oldest = append(n.oldest, seenNonce{nonce: nonce, expiry: now.Add(keep)})
+	return nil
+}
+
+// forget drops the nonces whose handshakes are too old to pass anyway.
+func (n *nonces) forget(now time.Time) {
+	for len(n.oldest) > 0 && now.After(n.oldest[0].expiry) {
+		delete(n.seen, n.oldest[0].nonce)
+		n.oldest = n.oldest[1:]
+	}
+}
--- a/connection/peerlink/options.go
+++ b/connection/peerlink/options.go
@@ -133,8 +133,8 @@
 // check reports the first option that can't be used.
 func (o Options) check() error {
 	switch {
-	case o.Self == "":
-		return errors.New("peer links: no name of this node")
+	case !validName(o.Self):
+		return errors.New("peer links: name of this node is empty or has odd characters")
 	case len(o.Key) < MinKeyBytes:
 		return errors.Errorf("peer links: key has %d bytes, needs %d", len(o.Key), MinKeyBytes)
 	case o.Codec == nil, o.Handler == nil, o.Resolve == nil:
--- /dev/null
+++ b/connection/peerlink/sweep.go
@@ -0,0 +1,98 @@
+package peerlink
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// sweep looks over every link and peer.
+func (l *Links) sweep(now time.Time) {
+	for _, k := range l.openLinks() {
+		l.check(k, now)
+	}
+	for _, p := range l.allPeers() {
+		l.redial(p, now)
+	}
+}
+
+// check closes a link that is late, silent or idle, and pings a quiet one.
+func (l *Links) check(k *link, now time.Time) {
+	limits := l.opts.Limits
+	if l.late(k, now) {
+		return
+	}
+	if parting, since := k.parting(); parting {
+		if now.Sub(since) > limits.HandshakeTimeout {
+			_ = k.conn.Close()
+		}
+		k.wake()
+		return
+	}
+	heard := k.age(now, &k.heard)
+	if heard > limits.SilenceTimeout {
+		l.counts.linksSilent.Inc(1)
+		k.fail(now, errors.Errorf("link to %s: silent for %s", k.peer.name, heard))
+		return
+	}
+	if k.age(now, &k.used) > limits.IdleTimeout && !k.peer.waiting() {
+		k.part(now, nil)
+		return
+	}
+	if min(heard, k.age(now, &k.pinged)) > limits.PingInterval {
+		k.pinged.Store(k.since(now))
+		k.pinging.Store(true)
+	}
+	if k.pinging.Load() || k.peer.waiting() {
+		k.wake()
+	}
+}
+
+// late closes an accepted connection that doesn't finish its handshake. It
+// reports whether the connection is in its handshake.
+func (l *Links) late(k *link, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k.peer != nil {
+		return false
+	}
+	if now.Sub(k.opened) > l.opts.Limits.HandshakeTimeout {
+		l.counts.handshakesFailed.Inc(1)
+		_ = k.conn.Close()
+	}
+	return true
+}
+
+// redial starts the dial that a pause held back, and forgets an unused peer.
+func (l *Links) redial(p *peer, now time.Time) {
+	if l.forget(p, now) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.queue) > 0 && p.startDial(now) {
+		go l.dial(p)
+	}
+}
+
+// forget drops a peer that holds nothing and reports whether it did.
+func (l *Links) forget(p *peer, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !p.forget(now) {
+		return false
+	}
+	delete(l.peers, p.name)
+	return true
+}
+
+// allPeers returns every peer that is kept.
+func (l *Links) allPeers() []*peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	peers := make([]*peer, 0, len(l.peers))
+	for _, p := range l.peers {
+		peers = append(peers, p)
+	}
+	return peers
+}
