Spread watches over two seconds after a change

Cause: all watchers of a fleet wake on the same change and watch anew; within one second that came near to half of the platform's rate of reads.

Ruled out: no spread, which puts the whole fleet into the same moment; a longer one, since the next change is then seen later by nodes that no peer tells.

The demo starts vtnode with its run subcommand.

--- a/process/platform/watcher.go
+++ b/process/platform/watcher.go
@@ -17,7 +17,7 @@
 	// DefaultRelistEvery is the mean time between two lists.
 	DefaultRelistEvery = 2 * time.Minute
 	// DefaultSpread bounds the random delay between a change and the next watch.
-	DefaultSpread = time.Second
+	DefaultSpread = 2 * time.Second
 	// DefaultWatchBackoffBase bounds the delay after a watcher's first failure.
 	// All watchers of a fleet see an outage begin in the same moment, so it is
 	// long enough to keep their next calls within the platform's rate.
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -167,7 +167,7 @@
 # start_node NODE starts one node; start_nodes starts all.
 start_node() {
   write_settings "$1"
-  start "node-$1" bin/vtnode -settings "$OUT/$1.yaml"
+  start "node-$1" bin/vtnode run -settings "$OUT/$1.yaml"
 }
 
 start_nodes() {
