Close the gaps that taking out mechanisms showed in the tests

Cause: each mechanism was taken out of a scratch copy in turn and the tests were run against it. Of 57 such changes, 10 passed unseen or did not compile: the cold turn, the failure penalty and the growth of spells in balancing, and cold marks, stale proof and the trickle in the guard.

Ruled out: nothing.

Change: tests that see them. The slow bound of balancing follows the harmonic mean latency of the candidates in place of the lowest, since one quick endpoint made all others look slow.

--- a/process/admission/cold_test.go
+++ b/process/admission/cold_test.go
@@ -21,14 +21,16 @@
 )
 
 // coldTarget is a model of a target that turns cold at any time. It bears its
-// cold limit then, and one more for every two rounds of answers. It sheds what
-// it doesn't bear, and only then says that it is cold.
+// cold limit then, and one more for every two rounds of answers to what it has
+// started since. It sheds what it doesn't bear, and only then says that it is
+// cold.
 type coldTarget struct {
 	guard    *Guard
 	node     string
 	running  []coldRun
 	bears    int
 	answered int
+	coldAt   time.Time
 	// silent tells that nothing has told the guard of the last cold turn.
 	silent bool
 }
@@ -38,7 +40,8 @@
 	ends   time.Time
 }
 
-func (c *coldTarget) turnCold() {
+func (c *coldTarget) turnCold(now time.Time) {
+	c.coldAt = now
 	c.bears = coldLimit
 	c.answered = 0
 	c.silent = true
@@ -53,6 +56,9 @@
 			continue
 		}
 		c.guard.Done(r.ticket, Result{Kind: Answered}, now)
+		if r.ticket.Began.Before(c.coldAt) {
+			continue
+		}
 		c.answered++
 		if c.answered >= 2*c.bears && c.bears < slots {
 			c.bears++
@@ -83,12 +89,12 @@
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 3))
 		targets := newColdTargets(t, rapid.SampledFrom(limit.Names()).Draw(t, "limit"), now)
 		tables := newTables(t, targets)
-		for step := range rapid.IntRange(1, 600).Draw(t, "steps") {
+		for step := range 600 {
 			now = now.Add(time.Duration(rng.IntN(2000)) * time.Microsecond)
 			for _, c := range targets {
 				c.end(now)
 				if rng.IntN(300) == 0 {
-					c.turnCold()
+					c.turnCold(now)
 				}
 				if rng.IntN(20) == 0 {
 					lie := load.State(rng.IntN(3))
@@ -117,7 +123,7 @@
 	for i := range 2 {
 		c := &coldTarget{guard: newGuard(t, adaptive), node: fmt.Sprintf("n%d", i)}
 		c.guard.Announce(Target{Instance: c.node, Slots: slots, ColdLimit: coldLimit}, now)
-		c.turnCold()
+		c.turnCold(now)
 		c.silent = false
 		targets[c.node] = c
 	}
--- a/process/admission/model_test.go
+++ b/process/admission/model_test.go
@@ -210,7 +210,7 @@
 		m := &model{t: t, now: start}
 		m.guard = newGuard(t, rapid.SampledFrom(limit.Names()).Draw(t, "limit"))
 		m.announce()
-		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+		for range 400 {
 			m.step()
 		}
 	})
--- a/request/balance/scored.go
+++ b/request/balance/scored.go
@@ -8,9 +8,10 @@
 	// roomShare is the share of its limit up to which an endpoint has room.
 	// Above it, work spills to farther endpoints before any of it is refused.
 	roomShare = 0.75
-	// slowFactor is how many times the lowest latency of the service still
-	// counts as usual.
-	slowFactor = 2
+	// slowFactor is how many times the service's harmonic mean latency still
+	// counts as usual. That mean follows the quick endpoints, and even if half
+	// of a service slows down by much, it stays near the other half.
+	slowFactor = 3
 	// slowAllowance is added to that, so that tiny latencies don't count as slow.
 	slowAllowance = time.Millisecond
 	// failurePenalty is how many times worse a candidate that always fails
@@ -152,11 +153,12 @@
 
 // slowBound returns the latency above which a candidate is slow.
 func (c *Choice) slowBound(considered []int) time.Duration {
-	lowest := c.Candidates[considered[0]].Latency
-	for _, i := range considered[1:] {
-		lowest = min(lowest, c.Candidates[i].Latency)
+	sum := 0.0
+	for _, i := range considered {
+		sum += 1 / max(c.Candidates[i].Latency, leastLatency).Seconds()
 	}
-	return slowFactor*lowest + slowAllowance
+	mean := float64(len(considered)) / sum * float64(time.Second)
+	return slowFactor*time.Duration(mean) + slowAllowance
 }
 
 func (c *Candidate) hasRoom(slow time.Duration) bool {
--- a/request/balance/table_test.go
+++ b/request/balance/table_test.go
@@ -187,28 +187,34 @@
 // with answers, so that ejection doesn't hide the score.
 func TestQuickFailuresDoNotLookLikeLowLoad(t *testing.T) {
 	for _, policy := range ours {
-		table, rng := newTable(t, policy, myself...), newRand()
-		now, failer := start, 0
-		const rounds = 2000
-		for i := range rounds {
-			now = now.Add(time.Millisecond)
-			node, _ := table.Pick(service, nil, now, rng)
-			table.Begin(service, node, now)
-			sample, result := usual, Result{Kind: Answered, Latency: 10 * time.Millisecond}
-			if node == "n0" {
-				failer++
-				sample = load.Sample{InFlight: 0, Limit: 20, Latency: 100 * time.Microsecond, State: load.Warm}
-				result = Result{Kind: Failed, Latency: 100 * time.Microsecond}
-				if i%3 == 0 {
-					result.Kind = Answered
-				}
-			}
-			table.Observe(service, node, sample, now)
-			table.End(service, node, now, result)
+		for _, failsOf3 := range []int{1, 2} {
+			testQuickFailures(t, policy, failsOf3)
 		}
-		if failer > rounds/10 {
-			t.Errorf("%s: the failing endpoint got %d of %d", policy, failer, rounds)
+	}
+}
+
+func testQuickFailures(t *testing.T, policy string, failsOf3 int) {
+	table, rng := newTable(t, policy, myself...), newRand()
+	now, failer := start, 0
+	const rounds = 2000
+	for i := range rounds {
+		now = now.Add(time.Millisecond)
+		node, _ := table.Pick(service, nil, now, rng)
+		table.Begin(service, node, now)
+		sample, result := usual, Result{Kind: Answered, Latency: 10 * time.Millisecond}
+		if node == "n0" {
+			failer++
+			sample = load.Sample{InFlight: 0, Limit: 20, Latency: 100 * time.Microsecond, State: load.Warm}
+			result = Result{Kind: Failed, Latency: 100 * time.Microsecond}
+			if i%3 >= failsOf3 {
+				result.Kind = Answered
+			}
 		}
+		table.Observe(service, node, sample, now)
+		table.End(service, node, now, result)
+	}
+	if failer > rounds/10 {
+		t.Errorf("%s: the endpoint that fails %d of 3 got %d of %d", policy, failsOf3, failer, rounds)
 	}
 }
 
@@ -226,6 +232,9 @@
 		}
 		for n := range 8 {
 			length := spell("n0", n)
+			if n > 0 && n < 6 && length < 3*spell("n0", n-1)/2 {
+				t.Fatalf("spell %d lasts %v, the one before %v", n, length, spell("n0", n-1))
+			}
 			if got := counts(table, now.Add(length-1), rng, 300); got["n0"] > 0 {
 				t.Fatalf("%s: picked during spell %d", policy, n)
 			}
@@ -254,12 +263,16 @@
 // idle one.
 func TestColdGetsProportionallyLittle(t *testing.T) {
 	for _, policy := range ours {
-		table, rng := newTable(t, policy, myself...), newRand()
-		observeAll(table, start)
-		table.Observe(service, "n0", load.Sample{Limit: 2, Latency: time.Millisecond, State: load.Cold}, start)
-		got := counts(table, start, rng, 10_000)
-		if got["n0"] < 50 || got["n0"] > 2*10_000*2/62 {
-			t.Errorf("%s: the cold endpoint got %d of 10000, it bears 2 of 62", policy, got["n0"])
+		for _, warm := range []load.Sample{usual, {Limit: 20, Latency: 10 * time.Millisecond, State: load.Warm}} {
+			table, rng := newTable(t, policy, myself...), newRand()
+			for _, n := range []string{"n1", "n2", "n3"} {
+				table.Observe(service, n, warm, start)
+			}
+			table.Observe(service, "n0", load.Sample{Limit: 2, Latency: 10 * time.Millisecond, State: load.Cold}, start)
+			got := counts(table, start, rng, 10_000)
+			if got["n0"] < 10_000/62 || got["n0"] > 2*10_000*2/62 {
+				t.Errorf("%s: the cold endpoint got %d of 10000, it bears 2 of 62", policy, got["n0"])
+			}
 		}
 	}
 }
