Let the load send requests that crash targets

Cause: measurements of quarantine need callers whose request crashes each target that runs it. Ruled out: a switch of the target alone, since the caller must send the same request again. Change: classes of a mix may be marked with crash. Nothing measured.

--- a/internal/standin/load/mix.go
+++ b/internal/standin/load/mix.go
@@ -25,6 +25,8 @@
 	BodyBytes int `yaml:"body_bytes"`
 	// AnswerBytes is the size of the answer.
 	AnswerBytes int `yaml:"answer_bytes"`
+	// Crash makes each operation crash the target that runs it.
+	Crash bool `yaml:"crash"`
 }
 
 // Mix is the operations of an organisation.
--- a/internal/standin/load/sender.go
+++ b/internal/standin/load/sender.go
@@ -109,6 +109,9 @@
 	r.Header.Set(target.HeaderNonce, op.nonce)
 	r.Header.Set(target.HeaderSize, strconv.Itoa(op.class.AnswerBytes))
 	r.Header.Set(request.HeaderTimeout, strconv.FormatInt(s.config.Timeout.Milliseconds(), 10))
+	if op.class.Crash {
+		r.Header.Set(target.HeaderCrash, "1")
+	}
 	if op.key != "" {
 		r.Header.Set(request.HeaderIdempotencyKey, op.key)
 	}
