Add stand-in oracle that knows the true load of all targets

Cause: measurements compare each balancing policy with one that reads the targets' true state, which lives in separate processes.

Ruled out: an oracle that polls the targets, which is stale by a poll or costs more than the work; one process for all targets, which are then no longer killed and frozen one by one.

Change: targets report in flight, what they bear and their present service time by UDP at each arrival and end; vtstandin oracle gives the latest of each.

Nothing measured.

--- a/cmd/vtstandin/main.go
+++ b/cmd/vtstandin/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&platformCommand{}, "")
 	subcommands.Register(&targetCommand{}, "")
 	subcommands.Register(&loadCommand{}, "")
+	subcommands.Register(&oracleCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	status := subcommands.Execute(ctx)
--- a/internal/standin/target/options.go
+++ b/internal/standin/target/options.go
@@ -66,6 +66,11 @@
 	// Collector is the URL that each run is posted to before the work begins.
 	// Empty means none.
 	Collector string
+	// Oracle is the "IP:port" to report the true load to by UDP, under the name
+	// Node. Empty means none.
+	Oracle string
+	// Node is the name of the node beside the target.
+	Node string
 	// DrainWait bounds the wait for the node to tell that a drain is over.
 	DrainWait time.Duration
 	// Crash is called when the target is to crash. The default cuts all
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -67,6 +67,10 @@
 	faults   faults
 	draining bool
 	reported report
+	// oracle is the socket to the oracle, nil without one, and sequence the
+	// number of the last report to it.
+	oracle   net.Conn
+	sequence int64
 	// life ends when the instance crashes or the target closes.
 	life context.Context
 	end  context.CancelFunc
@@ -111,12 +115,16 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", t.options.Address)
 	}
+	if err := t.dialOracle(); err != nil {
+		return err
+	}
 	t.options.Address = inner.Addr().String()
 	t.listen(inner)
 	background, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { t.announce(background) })
 	group.Go(func() { t.sample(background) })
+	group.Go(func() { t.tellPeriodically(background) })
 	if t.collector != nil {
 		group.Go(func() { t.collector.run(background) })
 	}
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -46,6 +46,8 @@
 	if !t.enter(w) {
 		return
 	}
+	t.tell()
+	defer t.tell()
 	answered := false
 	defer func() { t.exit(answered) }()
 	ctx, cancel := workContext(r, life)
@@ -150,13 +152,7 @@
 	defer t.mu.Unlock()
 	half := float64(t.options.ServiceTime) / 2
 	duration := half + half*t.rng.ExpFloat64()
-	if !t.capacity.warm() {
-		duration *= t.options.ColdFactor
-	}
-	if now.Before(t.faults.slowUntil) {
-		duration *= t.faults.slowFactor
-	}
-	return time.Duration(duration)
+	return time.Duration(duration * t.slownessLocked(now))
 }
 
 // waitOutStall waits while the target has fallen over.
