Let a cold target grow more slowly, and take shed work for a sign of cold

Cause: one more request for every two rounds of answers lets a target of cold limit 2 run 3 at once after 4 answers. A target that takes 100 answers to warm up from 2 to 10 bears 3 only after 13. A target that turns cold in silence sheds work without a word on being cold, and the limit followed it down one request at a time.

Ruled out: a pace that the target announces, since it may mislead.

Change: growth by one takes at least 16 answers, and twice as many, up to eight times, each time that the target sheds work while its limit grows. A shed request puts the limit to the cold limit at once, and counts as a failure for ejection. The tests' models reach the sizes at which stale proof shows.

Conclusion: a target that warms up by one slot for 16 answers or fewer is never given more than it bears after the first sign. One that needs more sheds work first, and is then treated more slowly.

--- a/process/admission/cold_test.go
+++ b/process/admission/cold_test.go
@@ -16,14 +16,14 @@
 const (
 	service   = "kodumala/viewing"
 	coldLimit = 2
-	slots     = 10
+	slots     = 24
 	workTime  = 10 * time.Millisecond
 )
 
 // coldTarget is a model of a target that turns cold at any time. It bears its
 // cold limit then, and one more for every two rounds of answers to what it has
-// started since. It sheds what it doesn't bear, and only then says that it is
-// cold.
+// started since, or sixteen if that is more. It sheds what
+// it doesn't bear, and only then says that it is cold, if at all.
 type coldTarget struct {
 	guard    *Guard
 	node     string
@@ -31,6 +31,8 @@
 	bears    int
 	answered int
 	coldAt   time.Time
+	// says tells that it names itself cold when it sheds.
+	says bool
 	// silent tells that nothing has told the guard of the last cold turn.
 	silent bool
 }
@@ -60,7 +62,7 @@
 			continue
 		}
 		c.answered++
-		if c.answered >= 2*c.bears && c.bears < slots {
+		if c.answered >= max(2*c.bears, 16) && c.bears < slots {
 			c.bears++
 			c.answered = 0
 		}
@@ -77,7 +79,7 @@
 	}
 	overrun = !c.silent
 	c.silent = false
-	c.guard.Done(ticket, Result{Kind: Shed, Cold: true}, now)
+	c.guard.Done(ticket, Result{Kind: Shed, Cold: c.says}, now)
 	return overrun
 }
 
@@ -87,13 +89,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := start
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 3))
-		targets := newColdTargets(t, rapid.SampledFrom(limit.Names()).Draw(t, "limit"), now)
+		targets := newWarmTargets(t, rapid.SampledFrom(limit.Names()).Draw(t, "limit"))
+		now = now.Add(time.Hour)
 		tables := newTables(t, targets)
-		for step := range 600 {
-			now = now.Add(time.Duration(rng.IntN(2000)) * time.Microsecond)
+		for step := range 1500 {
+			now = now.Add(time.Duration(rng.IntN(500)) * time.Microsecond)
 			for _, c := range targets {
 				c.end(now)
-				if rng.IntN(300) == 0 {
+				if rng.IntN(800) == 0 {
 					c.turnCold(now)
 				}
 				if rng.IntN(20) == 0 {
@@ -118,13 +121,13 @@
 	})
 }
 
-func newColdTargets(t *rapid.T, adaptive string, now time.Time) map[string]*coldTarget {
+func newWarmTargets(t rapid.TB, adaptive string) map[string]*coldTarget {
 	targets := make(map[string]*coldTarget)
 	for i := range 2 {
-		c := &coldTarget{guard: newGuard(t, adaptive), node: fmt.Sprintf("n%d", i)}
-		c.guard.Announce(Target{Instance: c.node, Slots: slots, ColdLimit: coldLimit}, now)
-		c.turnCold(now)
-		c.silent = false
+		c := &coldTarget{guard: newGuard(t, adaptive), node: fmt.Sprintf("n%d", i), says: i == 0}
+		c.guard.Announce(Target{Instance: c.node, Slots: slots, ColdLimit: coldLimit}, start)
+		warmUp(t, c.guard, start)
+		c.bears = slots
 		targets[c.node] = c
 	}
 	return targets
@@ -149,7 +152,7 @@
 }
 
 // warmUp runs rounds of full use until the target is warm.
-func warmUp(t testing.TB, g *Guard, now time.Time) time.Time {
+func warmUp(t rapid.TB, g *Guard, now time.Time) time.Time {
 	t.Helper()
 	for range 1000 {
 		if g.Sample(now).State == load.Warm {
@@ -194,6 +197,11 @@
 			g.Done(ticket, Result{Kind: Answered, Cold: true}, now)
 			return now
 		},
+		"request shed": func(g *Guard, now time.Time) time.Time {
+			ticket, _ := g.Admit(Request{}, now)
+			g.Done(ticket, Result{Kind: Shed}, now)
+			return now
+		},
 		"own report": func(g *Guard, now time.Time) time.Time {
 			g.Report(Report{State: load.Cold}, now)
 			return now
--- a/process/admission/doc.go
+++ b/process/admission/doc.go
@@ -15,7 +15,8 @@
 //
 // A target is cold when it starts, when it returns from out or from ejection,
 // and when it turns cold again: a new instance, an answer or report that says
-// so, or latencies that suddenly are a multiple of the usual. Then it gets
+// so, a request that it sheds, or latencies that suddenly are a multiple of the
+// usual. Then it gets
 // its cold limit at once. The limit grows with answers to requests that began
 // after the fall and that ran while the limit was in use. What the target
 // reports about itself can only lower a limit.
--- a/process/admission/done.go
+++ b/process/admission/done.go
@@ -56,7 +56,8 @@
 		g.learnAnswer(ended, now)
 	case Shed:
 		g.observe(ended, true, now)
-		g.ramp.shed(len(g.runs), now)
+		g.ramp.shed(now)
+		g.learnFailure(now)
 	case Failed:
 		g.learnFailure(now)
 	case Broken:
--- a/process/admission/guard.go
+++ b/process/admission/guard.go
@@ -129,9 +129,10 @@
 
 // resize fits the limits to what the target announced. It is cold then.
 func (g *Guard) resize(now time.Time) {
-	usual := g.ramp.usual
+	former := g.ramp
 	g.ramp = newRamp(g.target.ColdLimit, g.target.Slots, now)
-	g.ramp.usual = usual
+	g.ramp.usual = former.usual
+	g.ramp.pace = max(former.pace, 1)
 	bounds := limit.Bounds{Floor: g.ramp.floor, Ceiling: g.ramp.ceiling}
 	g.adaptive, _ = limit.New(g.settings.Limit, bounds) // New checked the name
 }
--- a/process/admission/model_test.go
+++ b/process/admission/model_test.go
@@ -61,13 +61,13 @@
 }
 
 // prove counts an answer to a request that began after the target turned
-// cold. The least number of answers for one more is two rounds.
+// cold. One more takes two rounds of answers, and at least 16.
 func (m *model) prove(r modelRun) {
 	if r.ticket.Began.Before(m.coldAt) {
 		return
 	}
 	m.proven++
-	if m.proven >= 2*m.bears && m.bears < m.target.Slots {
+	if m.proven >= max(2*m.bears, 16) && m.bears < m.target.Slots {
 		m.bears++
 		m.proven = 0
 	}
@@ -75,11 +75,11 @@
 
 func (m *model) announce() {
 	m.lives++
-	slots := rapid.IntRange(1, 12).Draw(m.t, "slots")
+	slots := rapid.IntRange(1, 40).Draw(m.t, "slots")
 	m.target = Target{
 		Instance:  fmt.Sprintf("life-%d", m.lives),
 		Slots:     slots,
-		ColdLimit: rapid.IntRange(1, slots).Draw(m.t, "cold limit"),
+		ColdLimit: rapid.IntRange(1, min(slots, 5)).Draw(m.t, "cold limit"),
 	}
 	m.guard.Announce(m.target, m.now)
 	m.present = true
@@ -106,16 +106,22 @@
 	if rapid.IntRange(0, 4).Draw(m.t, "dated") == 0 {
 		r.Expiry = m.now.Add(time.Duration(rapid.IntRange(-1, 1).Draw(m.t, "expiry")))
 	}
+	m.admitted(r)
+}
+
+// admitted asks the guard and checks what it says.
+func (m *model) admitted(r Request) bool {
 	ticket, refusal := m.guard.Admit(r, m.now)
 	if refusal != nil {
 		if ticket != (Ticket{}) {
 			m.t.Fatal("a refusal came with a ticket")
 		}
 		m.guard.Done(ticket, Result{Kind: Answered}, m.now)
-		return
+		return false
 	}
 	m.checkAdmitted(r)
 	m.running = append(m.running, modelRun{ticket: ticket, suspect: r.Suspect})
+	return true
 }
 
 // checkAdmitted fails if a request was admitted that must not be.
@@ -146,20 +152,40 @@
 		return
 	}
 	i := rapid.IntRange(0, len(m.running)-1).Draw(m.t, "which")
+	result := Result{Kind: Kind(rapid.SampledFrom([]int{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 2, 3, 4, 5}).Draw(m.t, "kind"))}
+	result.Cold = rapid.IntRange(0, 60).Draw(m.t, "cold") == 0
+	m.end(i, result)
+}
+
+// end ends a run, and tells the guard twice.
+func (m *model) end(i int, result Result) {
 	ended := m.running[i]
 	m.running = append(m.running[:i], m.running[i+1:]...)
-	result := Result{Kind: Kind(rapid.SampledFrom([]int{0, 0, 0, 0, 0, 0, 1, 2, 3, 4, 5}).Draw(m.t, "kind"))}
-	result.Cold = rapid.IntRange(0, 60).Draw(m.t, "cold") == 0
 	m.guard.Done(ended.ticket, result, m.now)
 	current := ended.ticket.Instance == m.target.Instance
 	if current && result.Kind == Answered {
 		m.prove(ended)
 	}
-	if current && result.Cold || m.guard.Sample(m.now).State == load.Ejected {
+	coldSign := result.Cold || result.Kind == Shed
+	if current && coldSign || m.guard.Sample(m.now).State == load.Ejected {
 		m.turnCold()
 	}
-	if rapid.Bool().Draw(m.t, "twice") {
-		m.guard.Done(ended.ticket, result, m.now)
+	m.guard.Done(ended.ticket, result, m.now)
+}
+
+// work fills the target round after round, so that its limit grows.
+func (m *model) work() {
+	for range rapid.IntRange(1, 60).Draw(m.t, "rounds") {
+		for m.admitted(Request{Caller: alpine}) {
+			continue
+		}
+		m.now = m.now.Add(20 * time.Millisecond)
+		for len(m.running) > 0 {
+			m.end(0, Result{Kind: Answered})
+		}
+	}
+	for m.admitted(Request{Caller: alpine}) {
+		continue
 	}
 }
 
@@ -189,6 +215,8 @@
 		m.present = false
 	case 5:
 		m.reportCold()
+	case 6, 7, 8, 9, 10, 11:
+		m.work()
 	default:
 		if rapid.IntRange(0, 9).Draw(m.t, "admit") < 6 {
 			m.admit()
@@ -210,7 +238,7 @@
 		m := &model{t: t, now: start}
 		m.guard = newGuard(t, rapid.SampledFrom(limit.Names()).Draw(t, "limit"))
 		m.announce()
-		for range 400 {
+		for range 300 {
 			m.step()
 		}
 	})
--- a/process/admission/ramp.go
+++ b/process/admission/ramp.go
@@ -4,8 +4,13 @@
 
 const (
 	// provenRounds is how many times the limit's worth of answers lets the
-	// limit of a cold target grow by one.
+	// limit of a cold target grow by one, and provenLeast is how many answers it
+	// takes at least.
 	provenRounds = 2
+	provenLeast  = 16
+	// slowestPace is how many times more answers it takes at most of a target
+	// that shed work while its limit grew.
+	slowestPace = 8
 	// slowStreak is how many slow answers in a row mean a sudden rise.
 	slowStreak = 5
 	// slowAllowance is added to the bound of a slow answer, so that tiny
@@ -24,6 +29,8 @@
 	floor   int
 	ceiling int
 	proven  int
+	// pace is how many times more answers growth takes than usual.
+	pace int
 	// fellAt is the time of the latest fall. Requests admitted before prove nothing.
 	fellAt time.Time
 	// quick tells that the fall was a suspicion by latency alone, so that one
@@ -36,7 +43,7 @@
 
 func newRamp(floor, ceiling int, now time.Time) ramp {
 	floor = min(max(floor, 1), max(ceiling, 1))
-	return ramp{limit: floor, cold: true, floor: floor, ceiling: max(ceiling, 1), fellAt: now}
+	return ramp{limit: floor, cold: true, pace: 1, floor: floor, ceiling: max(ceiling, 1), fellAt: now}
 }
 
 // fall puts the limit to the floor.
@@ -49,15 +56,14 @@
 	r.fellAt = now
 }
 
-// shed lowers the limit to what ran beside a request that the target shed.
-func (r *ramp) shed(beside int, now time.Time) {
-	if beside >= r.limit {
-		return
+// shed falls because the target shed a request although no more ran than the
+// limit: it doesn't bear what it announced, so it is cold. If that happens
+// while the limit grows, it grows too quickly for this target.
+func (r *ramp) shed(now time.Time) {
+	if r.cold && r.limit > r.floor {
+		r.pace = min(2*r.pace, slowestPace)
 	}
-	r.limit = max(beside, r.floor)
-	r.proven = 0
-	r.quick = false
-	r.fellAt = now
+	r.fall(now)
 }
 
 // answered takes in a good answer. Peers counts what ran when the request was
@@ -85,7 +91,7 @@
 		return
 	}
 	r.proven++
-	if r.quick || r.proven >= provenRounds*r.limit {
+	if r.quick || r.proven >= r.pace*max(provenRounds*r.limit, provenLeast) {
 		r.limit++
 		r.proven = 0
 	}
