Add the store of the configuration in force and the committer of changes

Cause: an accepted configuration must be in force once and never revert, while the platform shows stale reads, has outages and loses answers after a write took effect, and while operators race.

Ruled out: last writer wins, which drops an operator's change unseen; and refusing every change that lost a race, which makes operators of unrelated things retry by hand.

Change: Store keeps the highest version it was ever offered. Committer writes conditionally, settles a lost answer by the operation ID in the object's history, applies a change anew on top of unrelated ones, and answers a change of the same thing with a conflict that names who changed what. A refusal is only given when no earlier write of the commit can take effect any more; else the answer is unknown. Bootstrap asks platform and peers before a node serves.

--- /dev/null
+++ b/process/configstore/store_test.go
@@ -0,0 +1,223 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"verbenatrestle/process/platform"
+	"verbenatrestle/version"
+)
+
+// numbered returns valid documents of the versions 1 to n.
+func numbered(t testing.TB, n int) [][]byte {
+	t.Helper()
+	var all [][]byte
+	var doc version.Document
+	for i := range n {
+		change := version.Change{OperationID: fmt.Sprint("op-", i)}
+		if i == 0 {
+			change.Files = []version.File{{Name: "f.yaml", Text: configurationText + organisationText(1)}}
+		} else {
+			change.DataCentres = []version.Switch{{Name: "a", Out: i%2 == 1}}
+		}
+		next, err := version.Apply(doc, change, time.Unix(int64(i), 0), "asha")
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := next.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		doc, all = next, append(all, data)
+	}
+	return all
+}
+
+func TestStoreNeverGoesBack(t *testing.T) {
+	all := numbered(t, 12)
+	rapid.Check(t, func(t *rapid.T) {
+		store := NewStore()
+		highest := 0
+		for _, i := range rapid.SliceOf(rapid.IntRange(0, len(all))).Draw(t, "offers") {
+			signal := store.Changed()
+			if i == 0 {
+				if _, err := store.Offer(time.Now(), []byte("garbage")); err == nil {
+					t.Fatal("garbage was taken")
+				}
+				continue
+			}
+			changed, err := store.Offer(time.Unix(100, 0), all[i-1])
+			if err != nil || changed != (i > highest) || closed(signal) != changed {
+				t.Fatalf("offer %d above %d: changed %v, signal %v: %v", i, highest, changed, closed(signal), err)
+			}
+			highest = max(highest, i)
+			if store.Version() != uint64(highest) || store.Current().DataCentreOut("a") != (highest%2 == 0) {
+				t.Fatalf("version %d in force, want %d", store.Version(), highest)
+			}
+		}
+	})
+}
+
+func closed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestReplaceLosesRace shows that a configuration which was checked while a
+// higher one came in is dropped.
+func TestReplaceLosesRace(t *testing.T) {
+	store := NewStore()
+	all := numbered(t, 3)
+	if _, err := store.Offer(time.Unix(100, 0), all[2]); err != nil {
+		t.Fatal(err)
+	}
+	late := &InForce{Snapshot: version.NewSnapshot(2, time.Unix(1, 0), nil, nil, nil)}
+	if store.replace(late) || store.Version() != 3 {
+		t.Fatalf("version %d in force", store.Version())
+	}
+	if delay := store.InForce().Delay(); delay != 98*time.Second {
+		t.Errorf("delay %s", delay)
+	}
+}
+
+func TestWait(t *testing.T) {
+	store := NewStore()
+	all := numbered(t, 2)
+	got := make(chan uint64)
+	go func() {
+		snapshot, err := store.Wait(context.Background(), 2)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- snapshot.Version()
+	}()
+	for _, data := range all {
+		if _, err := store.Offer(time.Unix(1, 0), data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if v := <-got; v != 2 {
+		t.Errorf("got version %d", v)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := store.Wait(ctx, 3); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// scriptedClient shows the given versions of the object, the last for good.
+// The first write is cut off by an outage.
+type scriptedClient struct {
+	*fakePlatform
+	shown []int
+	cut   bool
+}
+
+func (c *scriptedClient) Get(context.Context, string) (platform.Object, error) {
+	shown := c.shown[0]
+	if len(c.shown) > 1 {
+		c.shown = c.shown[1:]
+	}
+	if shown == 0 {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return platform.Object{Key: Key, Version: uint64(shown), Value: c.values[shown-1]}, nil
+}
+
+func (c *scriptedClient) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	if c.cut {
+		c.cut = false
+		return 0, platform.ErrUnavailable
+	}
+	return c.fakePlatform.Put(ctx, key, value, ifVersion)
+}
+
+// TestStaleReads shows that a commit does not judge a change by a document
+// older than what the operator, the node or the commit itself has seen.
+func TestStaleReads(t *testing.T) {
+	all := numbered(t, 4) // data centre a: out at 2 and 4, in at 1 and 3
+	tests := []struct {
+		name  string
+		shown []int
+		known int // version that the node has in force
+		base  uint64
+		cut   bool
+		want  string
+	}{
+		{name: "older than the operator's base", shown: []int{2, 0, 4}, base: 4},
+		{name: "older than the node's, for good", shown: []int{2}, known: 4, want: "older than the one known"},
+		{name: "none though the node has one", shown: []int{0}, known: 4, want: "older than the one known"},
+		{name: "older than at the first read", shown: []int{4, 3, 4}, cut: true},
+	}
+	for _, test := range tests {
+		values := append([][]byte(nil), all...)
+		client := &scriptedClient{fakePlatform: &fakePlatform{values: values, healthy: true}, shown: test.shown, cut: test.cut}
+		w := newWorld(nil)
+		w.committers[0].config.Client = client
+		if test.known > 0 {
+			if _, err := w.stores[0].Offer(w.clock, all[test.known-1]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		change := version.Change{OperationID: "x", Base: test.base, DataCentres: []version.Switch{{Name: "a", Out: true}}}
+		got, err := w.committers[0].Commit(context.Background(), change, "asha")
+		if test.want == "" && (err != nil || got.Entry.Version != 5) {
+			t.Errorf("%s: got %+v, %v", test.name, got, err)
+		}
+		var unavailable *UnavailableError
+		if test.want != "" && (!errors.As(err, &unavailable) || !errors.Is(err, errStale)) {
+			t.Errorf("%s: got %v", test.name, err)
+		}
+	}
+}
+
+type fakePeer struct {
+	data []byte
+	err  error
+}
+
+func (p fakePeer) Name() string                                  { return "n7" }
+func (p fakePeer) Configuration(context.Context) ([]byte, error) { return p.data, p.err }
+
+func TestBootstrap(t *testing.T) {
+	all := numbered(t, 3)
+	down := fakePeer{err: errors.New("dial refused")}
+	tests := []struct {
+		name     string
+		platform int // version shown; -1 means an outage
+		peers    []Peer
+		version  uint64
+		want     string
+	}{
+		{name: "stale platform, fresher peer", platform: 1, peers: []Peer{fakePeer{data: all[2]}, down}, version: 3},
+		{name: "platform down", platform: -1, peers: []Peer{fakePeer{data: all[1]}}, version: 2},
+		{name: "peers down", platform: 3, peers: []Peer{down}, version: 3},
+		{name: "nothing anywhere", peers: []Peer{fakePeer{}}, want: "no configuration yet"},
+		{name: "nothing known", peers: []Peer{down}, want: "start with a configuration: ask peer n7: dial refused"},
+		{name: "garbage", peers: []Peer{fakePeer{data: []byte("x")}}, want: "start with a configuration: ask peer n7: offer configuration: decompress configuration: unexpected EOF"},
+	}
+	for _, test := range tests {
+		fake := &fakePlatform{healthy: true, between: func() {}}
+		if test.platform > 0 {
+			fake.values = all[:test.platform]
+		}
+		if test.platform < 0 {
+			fake.healthy, fake.outage, fake.t = false, 1, nil
+		}
+		store := NewStore()
+		err := Bootstrap(context.Background(), store, time.Now, fake, test.peers)
+		if store.Version() != test.version || (err == nil) != (test.want == "") || (err != nil && err.Error() != test.want) {
+			t.Errorf("%s: version %d, %v", test.name, store.Version(), err)
+		}
+	}
+}
