--- /dev/null
+++ b/node/adminwire.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"net/http"
+	"strings"
+
+	"verbenatrestle/request"
+)
+
+// adminHandler returns what the admin listener serves.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/ready", n.authorised(http.HandlerFunc(n.serveReady)))
+	return mux
+}
+
+// serveReady answers 200 when the node can serve, 503 otherwise.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.ready() {
+		newFailure(http.StatusServiceUnavailable, request.NotRun, "ready", n.settings.Name, "not ready", nil).Write(w)
+		return
+	}
+	writeJSON(w, map[string]bool{"ready": true})
+}
+
+// authorised lets requests with the admin token through.
+func (n *Node) authorised(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !sameSecret(token, n.settings.Secrets.AdminToken) {
+			newFailure(http.StatusUnauthorized, request.NotRun, "authorise", n.settings.Name, "wrong admin token", nil).Write(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/node/announce.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/request"
+	"verbenatrestle/version"
+)
+
+const (
+	// maxAnnounceBytes bounds an announcement.
+	maxAnnounceBytes = 16 << 10
+	// maxDrainWait is the longest that a drain request may wait.
+	maxDrainWait = 10 * time.Minute
+	// drainPoll is how often a waiting drain request looks for idleness.
+	drainPoll = 5 * time.Millisecond
+	// maxConnections bounds what a target may announce.
+	maxConnections = 10_000
+)
+
+// announcement is what a target says about itself.
+type announcement struct {
+	Organisation string `json:"organisation"`
+	Service      string `json:"service"`
+	Address      string `json:"address"`
+	Instance     string `json:"instance"`
+	Slots        int    `json:"slots"`
+	Connections  int    `json:"connections"`
+	ColdLimit    int    `json:"cold_limit"`
+}
+
+// check returns an error that names the first field that is wrong.
+func (a *announcement) check() error {
+	if _, err := version.ParseServiceID(string(a.service())); err != nil {
+		return errors.Wrap(err, "organisation and service")
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return errors.Wrap(err, "address")
+	}
+	if a.Instance == "" {
+		return errors.New("instance: must be set")
+	}
+	if a.Slots < 1 || a.Slots > maxConnections {
+		return errors.Errorf("slots: %d is not from 1 to %d", a.Slots, maxConnections)
+	}
+	if a.Connections < 1 || a.Connections > maxConnections {
+		return errors.Errorf("connections: %d is not from 1 to %d", a.Connections, maxConnections)
+	}
+	if a.ColdLimit < 1 || a.ColdLimit > a.Slots {
+		return errors.Errorf("cold_limit: %d is not from 1 to slots", a.ColdLimit)
+	}
+	return nil
+}
+
+func (a *announcement) service() version.ServiceID {
+	return version.NewServiceID(a.Organisation, a.Service)
+}
+
+// announceServer listens to the target beside the node.
+type announceServer struct {
+	local *localTarget
+}
+
+// handler returns the HTTP handler of the announce listener.
+func (s *announceServer) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/announce", s.announce)
+	mux.HandleFunc("POST /v1/drain", s.drain)
+	return mux
+}
+
+func (s *announceServer) announce(w http.ResponseWriter, r *http.Request) {
+	var a announcement
+	if !decodeJSON(w, r, &a) {
+		return
+	}
+	if err := a.check(); err != nil {
+		refuseJSON(w, "check announcement", err)
+		return
+	}
+	state := s.local.announce(a)
+	writeJSON(w, map[string]string{"state": state.String()})
+}
+
+// drain starts the target's leave and answers 200 once nothing is in flight,
+// or 409 when that has not come about within ?wait= seconds.
+func (s *announceServer) drain(w http.ResponseWriter, r *http.Request) {
+	var leaving struct {
+		Instance string `json:"instance"`
+	}
+	if !decodeJSON(w, r, &leaving) {
+		return
+	}
+	s.local.drain(leaving.Instance)
+	seconds, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	wait := min(time.Duration(max(seconds, 0))*time.Second, maxDrainWait)
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	if !s.local.waitIdle(ctx) {
+		f := newFailure(http.StatusConflict, request.NotRun, "drain", s.local.self, "requests are in flight", nil)
+		f.Write(w)
+		return
+	}
+	writeJSON(w, map[string]string{"state": "idle"})
+}
+
+// decodeJSON reads the body into v. It answers and returns false on error.
+func decodeJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes))
+	if err := decoder.Decode(v); err != nil {
+		refuseJSON(w, "parse body", err)
+		return false
+	}
+	return true
+}
+
+func refuseJSON(w http.ResponseWriter, step string, err error) {
+	newFailure(http.StatusBadRequest, request.NotRun, step, "", "bad request", err).Write(w)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/node/answer.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// bufferedAnswerBytes is how much of an answer the node reads before it
+// passes on the first byte. An answer that breaks off within that is never
+// seen by the caller, and an idempotent request may be tried again.
+const bufferedAnswerBytes = 64 << 10
+
+// answer is what a target, or the node beside it, answered.
+type answer struct {
+	status int
+	header http.Header
+	// head is what was read of the body.
+	head []byte
+	// rest is the remainder of the body, nil when head is the whole body.
+	rest io.ReadCloser
+	// length is the length of the whole body in bytes, -1 when not known.
+	length int64
+	// node is the name of the node beside the target.
+	node string
+}
+
+// readAnswer reads the head of the response. It fails when the body breaks
+// off within the head.
+func readAnswer(resp *http.Response) (*answer, error) {
+	a := &answer{status: resp.StatusCode, header: endToEnd(resp.Header), length: resp.ContentLength}
+	head, err := readUpTo(resp.Body, bufferedAnswerBytes, resp.ContentLength)
+	if err != nil {
+		_ = resp.Body.Close()
+		return nil, errors.Wrap(err, "read answer")
+	}
+	a.head = head
+	if len(head) < bufferedAnswerBytes {
+		_ = resp.Body.Close()
+		a.length = int64(len(head))
+		return a, nil
+	}
+	a.rest = resp.Body
+	return a, nil
+}
+
+// readUpTo reads at most max bytes. hint is the expected length or -1.
+func readUpTo(r io.Reader, max int64, hint int64) ([]byte, error) {
+	size := int64(bytes.MinRead)
+	if hint > 0 {
+		size = min(hint, max) + bytes.MinRead
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, size))
+	_, err := buf.ReadFrom(io.LimitReader(r, max))
+	return buf.Bytes(), err
+}
+
+// readAll reads the whole body into head, and fails when it is longer than max.
+func (a *answer) readAll(max int64) error {
+	if a.rest == nil {
+		return nil
+	}
+	defer a.close()
+	tail, err := readUpTo(a.rest, max-int64(len(a.head))+1, -1)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if int64(len(a.head)+len(tail)) > max {
+		return errAnswerTooLarge
+	}
+	a.head = append(a.head, tail...)
+	a.length = int64(len(a.head))
+	return nil
+}
+
+// errAnswerTooLarge says that an answer is longer than an owner keeps.
+var errAnswerTooLarge = errors.New("answer is longer than limits.max_answer_bytes")
+
+// close gives up the rest of the body.
+func (a *answer) close() {
+	if a.rest != nil {
+		_ = a.rest.Close()
+		a.rest = nil
+	}
+}
+
+// writeTo passes the answer on whole. When the rest of the body breaks off it
+// aborts the connection, so that a cut answer is never taken for a whole one.
+func (a *answer) writeTo(w http.ResponseWriter) {
+	defer a.close()
+	header := w.Header()
+	for name, values := range a.header {
+		header[name] = values
+	}
+	if a.length >= 0 && a.status != http.StatusNotModified && header.Get("Content-Length") == "" {
+		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.head); err != nil {
+		return
+	}
+	if a.rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, a.rest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// splitList splits a comma-separated header value.
+func splitList(value string) []string {
+	parts := strings.Split(value, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
--- /dev/null
+++ b/node/checker.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"net/netip"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// checker gathers what is wrong with settings, so that one error names it all.
+type checker struct {
+	faults []string
+}
+
+// want records the fault unless ok.
+func (c *checker) want(ok bool, fault string) {
+	if !ok {
+		c.faults = append(c.faults, fault)
+	}
+}
+
+// address wants an IP number and a port.
+func (c *checker) address(name, value string) {
+	_, err := netip.ParseAddrPort(value)
+	c.want(err == nil, name+": must be an IP number and port, such as 127.0.0.1:7000")
+}
+
+// url wants an http URL with a host by IP number.
+func (c *checker) url(name, value string) {
+	u, err := url.Parse(value)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https")
+	if ok {
+		_, err = netip.ParseAddr(u.Hostname())
+		ok = err == nil
+	}
+	c.want(ok, name+": must be an http URL with an IP number, such as http://127.0.0.1:9000")
+}
+
+// share wants a number from 0 to 1.
+func (c *checker) share(name string, value float64) {
+	c.want(value >= 0 && value <= 1, name+": must be from 0 to 1")
+}
+
+// err returns all faults as one error, or nil.
+func (c *checker) err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return errors.New(strings.Join(c.faults, "; "))
+}
--- /dev/null
+++ b/node/dispatch.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+)
+
+const (
+	// maxAttempts bounds the attempts of one request, hedges included.
+	maxAttempts = 6
+	// noTargetRetryAfter is when a caller may come back that found no target.
+	noTargetRetryAfter = time.Second
+)
+
+// guardCaller makes one attempt at the guard of a node.
+type guardCaller interface {
+	call(ctx context.Context, node string, o *order) result
+}
+
+// dispatcher finds a target for a request: it picks, tries, retries and
+// hedges. It holds no state of a request.
+type dispatcher struct {
+	table   *balance.Table
+	budgets *budgets
+	guards  guardCaller
+	rngs    *sync.Pool
+	metrics *requestMetrics
+}
+
+// newRandoms returns a pool of random number generators.
+func newRandoms() *sync.Pool {
+	return &sync.Pool{New: func() any {
+		return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}}
+}
+
+// dispatch runs the order on a target and returns the final answer or failure.
+// The caller's context ends when nobody waits any more.
+func (d *dispatcher) dispatch(ctx context.Context, o *order) result {
+	now := time.Now()
+	budget := d.budgets.of(o.service.ID, now)
+	budget.hedge.Request()
+	run := &dispatchRun{dispatcher: d, order: o, budget: budget}
+	return run.loop(ctx)
+}
+
+// dispatchRun is the state of one request's attempts.
+type dispatchRun struct {
+	*dispatcher
+	order  *order
+	budget *serviceBudget
+	tried  []string
+}
+
+// loop makes attempts until one is final.
+func (r *dispatchRun) loop(ctx context.Context) result {
+	var all settled
+	for {
+		node, ok := r.pick()
+		if !ok {
+			return r.noTarget(all.last)
+		}
+		all.last.close()
+		last := all.add(r.attempt(ctx, node))
+		if !r.again(ctx, &last) {
+			return last
+		}
+		r.metrics.retries.Inc(1)
+	}
+}
+
+// pick chooses the node of the next attempt among those not yet tried.
+func (r *dispatchRun) pick() (string, bool) {
+	if len(r.tried) >= maxAttempts {
+		return "", false
+	}
+	rng := r.rngs.Get().(*rand.Rand)
+	defer r.rngs.Put(rng)
+	node, ok := r.table.Pick(string(r.order.service.ID), r.tried, time.Now(), rng)
+	if ok {
+		r.tried = append(r.tried, node)
+	}
+	return node, ok
+}
+
+// noTarget ends a request for which there is no further target.
+func (r *dispatchRun) noTarget(last result) result {
+	if last.answer != nil || last.failure != nil {
+		return last
+	}
+	f := newFailure(http.StatusServiceUnavailable, request.NotRun, "pick", "",
+		"no target takes work", errors.Errorf("service %s has no target that takes work", r.order.service.ID))
+	return failed(balance.Refused, withRetryAfter(f, noTargetRetryAfter))
+}
+
+// again reports whether another attempt is allowed after last.
+func (r *dispatchRun) again(ctx context.Context, last *result) bool {
+	if !last.retryable() {
+		r.budget.retry.Success()
+		return false
+	}
+	now := time.Now()
+	if ctx.Err() != nil || r.order.deadline.Expired(now) {
+		return false
+	}
+	if last.notRun() {
+		return r.budget.retry.AllowRefused(now)
+	}
+	return r.order.route.Idempotent && r.budget.retry.AllowUnknown(now)
+}
+
+// attempt makes one attempt, beside which a hedge may start.
+func (r *dispatchRun) attempt(ctx context.Context, node string) result {
+	delay, known := r.budget.hedge.Delay(time.Now())
+	if !known || !r.order.route.Idempotent || !r.order.route.Hedge {
+		return r.try(ctx, node)
+	}
+	return r.hedged(ctx, node, delay)
+}
+
+// hedged makes an attempt and, when it is slow and the budget allows, a second
+// one beside it. The first good end wins; the other is cancelled.
+func (r *dispatchRun) hedged(ctx context.Context, node string, delay time.Duration) result {
+	first := r.start(ctx, node)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case res := <-first.done:
+		return res
+	case <-timer.C:
+	}
+	if !r.budget.hedge.Allow(time.Now()) {
+		return <-first.done
+	}
+	second, ok := r.pick()
+	if !ok {
+		return <-first.done
+	}
+	r.metrics.hedges.Inc(1)
+	return r.race(first, r.start(ctx, second))
+}
+
+// pending is an attempt that runs in its own goroutine.
+type pending struct {
+	done   chan result
+	cancel context.CancelFunc
+}
+
+// start makes an attempt in a goroutine.
+func (r *dispatchRun) start(ctx context.Context, node string) pending {
+	ctx, cancel := context.WithCancel(ctx)
+	p := pending{done: make(chan result, 1), cancel: cancel}
+	go func() {
+		res := r.try(ctx, node)
+		res.onClose(cancel)
+		p.done <- res
+	}()
+	return p
+}
+
+// race returns the first good result of two attempts, and gives up the other.
+func (r *dispatchRun) race(a, b pending) result {
+	var res result
+	other := b
+	select {
+	case res = <-a.done:
+	case res = <-b.done:
+		other = a
+		r.metrics.hedgesWon.Inc(1)
+	}
+	if res.retryable() {
+		var both settled
+		both.add(res)
+		res.close()
+		return both.add(<-other.done)
+	}
+	go other.abandon()
+	return res
+}
+
+// abandon cancels an attempt that lost and frees what it holds.
+func (p pending) abandon() {
+	p.cancel()
+	res := <-p.done
+	res.close()
+}
+
+// try makes one attempt and tells the balancing table and budgets of its end.
+func (r *dispatchRun) try(ctx context.Context, node string) result {
+	service := string(r.order.service.ID)
+	start := time.Now()
+	r.table.Begin(service, node, start)
+	res := r.guards.call(ctx, node, r.order)
+	now := time.Now()
+	if ctx.Err() != nil && res.answer == nil && !res.notRun() {
+		res.kind = balance.Cancelled
+	}
+	if res.sampled {
+		r.table.Observe(service, node, res.sample, now)
+	}
+	latency := now.Sub(start)
+	r.table.End(service, node, now, balance.Result{Latency: latency, Kind: res.kind})
+	if res.kind == balance.Answered {
+		r.budget.hedge.Observe(latency, now)
+	}
+	return res
+}
--- /dev/null
+++ b/node/dump.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"time"
+
+	"verbenatrestle/connection/load"
+)
+
+// state providers: each part of the node's state dump by name.
+func (n *Node) stateParts() map[string]func() any {
+	return map[string]func() any{
+		"node":          n.nodeState,
+		"members":       func() any { return n.table.Members() },
+		"links":         func() any { return n.links.State() },
+		"ownership":     n.owners.State,
+		"balance":       func() any { return n.balance.Snapshot(time.Now()) },
+		"target":        n.targetState,
+		"quarantine":    func() any { return n.quarantine.Export() },
+		"configuration": n.configState,
+	}
+}
+
+// nodeView is the node's own part of the state dump.
+type nodeView struct {
+	Name        string    `json:"name"`
+	DataCentre  string    `json:"data_centre"`
+	Region      string    `json:"region"`
+	Incarnation uint64    `json:"incarnation"`
+	Started     time.Time `json:"started"`
+	Ready       bool      `json:"ready"`
+	Leaving     bool      `json:"leaving"`
+	InFlight    int64     `json:"in_flight"`
+	Neighbours  []string  `json:"neighbours"`
+}
+
+func (n *Node) nodeState() any {
+	return nodeView{
+		Name:        n.settings.Name,
+		DataCentre:  n.settings.DataCentre,
+		Region:      n.settings.Region,
+		Incarnation: n.incarnation,
+		Started:     n.started,
+		Ready:       n.ready(),
+		Leaving:     n.leaving.Load(),
+		InFlight:    n.ingress.inFlight.Load(),
+		Neighbours:  n.table.Neighbours(),
+	}
+}
+
+// targetView is the target's part of the state dump.
+type targetView struct {
+	Service     string    `json:"service"`
+	Address     string    `json:"address"`
+	Instance    string    `json:"instance"`
+	Slots       int       `json:"slots"`
+	LastSeen    time.Time `json:"last_seen"`
+	State       string    `json:"state"`
+	InFlight    int       `json:"in_flight"`
+	Limit       int       `json:"limit"`
+	LatencyUS   int64     `json:"latency_us"`
+	Connections int64     `json:"connections"`
+}
+
+func (n *Node) targetState() any {
+	n.target.mu.Lock()
+	a := n.target.last
+	seen := n.target.lastSeen
+	n.target.mu.Unlock()
+	sample := n.guard.admission.Sample(time.Now())
+	view := targetView{
+		Service:   string(a.service()),
+		Address:   a.Address,
+		Instance:  a.Instance,
+		Slots:     a.Slots,
+		LastSeen:  seen,
+		State:     sample.State.String(),
+		InFlight:  sample.InFlight,
+		Limit:     sample.Limit,
+		LatencyUS: sample.Latency.Microseconds(),
+	}
+	if sample.State == load.Absent {
+		view.Service = ""
+	}
+	if client := n.guard.target.Load(); client != nil {
+		view.Connections = client.open.Load()
+	}
+	return view
+}
+
+// configView is the configuration's part of the state dump.
+type configView struct {
+	Version        uint64    `json:"version"`
+	AcceptedAt     time.Time `json:"accepted_at"`
+	InForceSince   time.Time `json:"in_force_since"`
+	DelayMS        int64     `json:"delay_ms"`
+	Bytes          int       `json:"bytes"`
+	DataCentresOut []string  `json:"data_centres_out"`
+	TargetsOut     []string  `json:"targets_out"`
+}
+
+func (n *Node) configState() any {
+	f := n.config.store.InForce()
+	if f == nil {
+		return configView{}
+	}
+	return configView{
+		Version:        f.Snapshot.Version(),
+		AcceptedAt:     f.Snapshot.AcceptedAt(),
+		InForceSince:   f.Since,
+		DelayMS:        f.Delay().Milliseconds(),
+		Bytes:          len(f.Encoded),
+		DataCentresOut: f.Snapshot.DataCentresOut(),
+		TargetsOut:     f.Snapshot.TargetsOut(),
+	}
+}
--- /dev/null
+++ b/node/hopclient.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/connection/load"
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+)
+
+const (
+	// dialTimeout bounds opening a connection to a node or target.
+	dialTimeout = 500 * time.Millisecond
+	// hopIdleTimeout is how long an unused connection between nodes is kept.
+	// It is shorter than the server's, so that a connection never closes
+	// under a request.
+	hopIdleTimeout = 60 * time.Second
+	// hopServerIdleTimeout is the server's side of hopIdleTimeout.
+	hopServerIdleTimeout = 120 * time.Second
+	// maxHopConnections bounds the idle connections to one node.
+	maxHopConnections = 64
+	// maxIdleHops bounds the idle connections to all nodes.
+	maxIdleHops = 1024
+)
+
+// hopClient sends requests to other nodes.
+type hopClient struct {
+	client  *http.Client
+	key     string
+	resolve func(node string) (address string, ok bool)
+}
+
+func newHopClient(protocol HopProtocol, key string, resolve func(string) (string, bool)) *hopClient {
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression:    true,
+		IdleConnTimeout:       hopIdleTimeout,
+		MaxIdleConns:          maxIdleHops,
+		MaxIdleConnsPerHost:   maxHopConnections,
+		ResponseHeaderTimeout: request.MaxTimeout,
+		Protocols:             protocols(protocol),
+	}
+	return &hopClient{
+		client:  &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		key:     key,
+		resolve: resolve,
+	}
+}
+
+// protocols returns the protocol set of a hop for net/http.
+func protocols(p HopProtocol) *http.Protocols {
+	set := new(http.Protocols)
+	set.SetHTTP1(p != HopHTTP2)
+	set.SetUnencryptedHTTP2(p == HopHTTP2)
+	return set
+}
+
+// noRedirect hands redirects to the caller as they are.
+func noRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// send sends the order to the node for the given hop and returns its answer.
+// Step names the hop in failures.
+func (c *hopClient) send(ctx context.Context, node, hop string, o *order) result {
+	step := "hop to " + hop
+	address, ok := c.resolve(node)
+	if !ok {
+		return failed(balance.Failed, newFailure(http.StatusBadGateway, request.NotRun, step, node,
+			"node unknown", errors.Errorf("no address of node %s", node)))
+	}
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	r, err := o.hopRequest(httptrace.WithClientTrace(ctx, trace), "http://"+address, hop, time.Now())
+	if err != nil {
+		return failed(balance.Cancelled, newFailure(http.StatusGatewayTimeout, request.NotRun, step, node, "out of time", err))
+	}
+	r.Header.Set(headerHopKey, c.key)
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return failed(balance.Failed, sendFailure(step, node, connected, err))
+	}
+	if id := resp.Header.Get(request.HeaderRequestID); id != o.id {
+		_ = resp.Body.Close()
+		return failed(balance.Failed, newFailure(http.StatusBadGateway, request.Unknown, step, node,
+			"answer to another request", errors.Errorf("sent request %s, got the answer to %q", o.id, id)))
+	}
+	return readHopAnswer(step, node, resp)
+}
+
+// sendFailure tells why a request could not be sent or got no answer. Without
+// a connection it was not run.
+func sendFailure(step, peer string, connected bool, err error) *request.Failure {
+	outcome := request.NotRun
+	if connected {
+		outcome = request.Unknown
+	}
+	status := http.StatusBadGateway
+	title := "connection failed"
+	if errors.Is(err, context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+		title = "out of time"
+	}
+	return newFailure(status, outcome, step, peer, title, err)
+}
+
+// readHopAnswer turns a node's response into a result. A response with an
+// outcome is a failure that the node reports.
+func readHopAnswer(step, node string, resp *http.Response) result {
+	var res result
+	if s, err := load.Parse(resp.Header.Get(request.HeaderLoad)); err == nil {
+		res.sample = s
+		res.sampled = true
+	}
+	res.owner = resp.Header.Get(headerOwner)
+	reported := request.Outcome(resp.Header.Get(request.HeaderOutcome))
+	a, err := readAnswer(resp)
+	if err != nil {
+		res.kind = balance.Failed
+		res.failure = newFailure(http.StatusBadGateway, request.Unknown, step, node, "answer broke off", err)
+		return res
+	}
+	if reported != "" {
+		res.failure = reportedFailure(reported, step, node, a)
+		res.kind = failureKind(res.failure)
+		a.close()
+		return res
+	}
+	a.node = node
+	res.answer = a
+	res.kind = answerKind(a.status)
+	return res
+}
+
+// answerKind tells whether a target's answer counts as a failure of the target.
+func answerKind(status int) balance.Kind {
+	if status >= http.StatusInternalServerError {
+		return balance.Failed
+	}
+	return balance.Answered
+}
+
+// failureKind tells how a node's reported failure counts for balancing.
+func failureKind(f *request.Failure) balance.Kind {
+	if f.Outcome == request.NotRun {
+		return balance.Refused
+	}
+	return balance.Failed
+}
--- /dev/null
+++ b/node/hopserver.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"crypto/subtle"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/request"
+	"verbenatrestle/version"
+)
+
+// hopServer answers requests of other nodes.
+type hopServer struct {
+	self     string
+	key      string
+	snapshot func() *version.Snapshot
+	guard    orderServer
+	owner    orderServer
+}
+
+// orderServer serves an order that came over a hop or from this node.
+type orderServer interface {
+	serve(ctx context.Context, o *order) result
+}
+
+// ServeHTTP implements http.Handler.
+func (s *hopServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(request.HeaderRequestID, r.Header.Get(request.HeaderRequestID))
+	if !sameSecret(r.Header.Get(headerHopKey), s.key) {
+		writeHopFailure(w, newFailure(http.StatusUnauthorized, request.NotRun, "hop", s.self, "wrong peer key", nil))
+		return
+	}
+	o, failure := s.readOrder(r)
+	if failure != nil {
+		writeHopFailure(w, failure)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), o.deadline.Time())
+	defer cancel()
+	res := s.server(r.Header.Get(request.HeaderHop)).serve(ctx, o)
+	writeHopResult(w, res)
+}
+
+// sameSecret compares secrets in constant time.
+func sameSecret(got, want string) bool {
+	return subtle.ConstantTimeCompare([]byte(got), []byte(want)) == 1
+}
+
+// server returns what serves the hop.
+func (s *hopServer) server(hop string) orderServer {
+	if hop == request.HopOwner {
+		return s.owner
+	}
+	return s.guard
+}
+
+// writeHopResult sends an answer or failure with the load of the guard.
+func writeHopResult(w http.ResponseWriter, res result) {
+	if res.sampled {
+		w.Header().Set(request.HeaderLoad, res.sample.Header())
+	}
+	if res.owner != "" {
+		w.Header().Set(headerOwner, res.owner)
+	}
+	if res.failure != nil {
+		writeHopFailure(w, res.failure)
+		return
+	}
+	res.answer.writeTo(w)
+}
+
+// readOrder reads the order that another node sent.
+func (s *hopServer) readOrder(r *http.Request) (*order, *request.Failure) {
+	refuse := func(status int, title string, err error) *request.Failure {
+		return newFailure(status, request.NotRun, "read hop", s.self, title, err)
+	}
+	h := r.Header
+	service := s.snapshot().Service(version.ServiceID(h.Get(request.HeaderService)))
+	if service == nil {
+		return nil, refuse(http.StatusNotFound, "service unknown",
+			errors.Errorf("no service %q in version %d", h.Get(request.HeaderService), s.snapshot().Version()))
+	}
+	route := service.RouteNamed(h.Get(request.HeaderRoute))
+	if route == nil {
+		return nil, refuse(http.StatusNotFound, "route unknown",
+			errors.Errorf("service %s has no route %q", service.ID, h.Get(request.HeaderRoute)))
+	}
+	deadline, err := request.NewDeadline(time.Now(), h.Get(request.HeaderTimeout), request.MaxTimeout)
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "bad deadline", err)
+	}
+	fingerprint, err := strconv.ParseUint(h.Get(headerFingerprint), 16, 64)
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "bad fingerprint", err)
+	}
+	expiry, err := parseExpiry(h.Get(request.HeaderExpiry))
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "bad expiry", err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "body broke off", err)
+	}
+	return &order{
+		id:          h.Get(request.HeaderRequestID),
+		service:     service,
+		route:       route,
+		method:      r.Method,
+		uri:         r.URL.RequestURI(),
+		header:      endToEnd(h),
+		body:        body,
+		key:         h.Get(request.HeaderIdempotencyKey),
+		fingerprint: request.Fingerprint(fingerprint),
+		suspect:     h.Get(request.HeaderSuspect) != "",
+		deadline:    deadline,
+		expiry:      expiry,
+	}, nil
+}
+
+// parseExpiry reads request.HeaderExpiry. No header means no expiry.
+func parseExpiry(header string) (time.Time, error) {
+	if header == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil {
+		return time.Time{}, errors.Wrap(err, "parse expiry")
+	}
+	return time.UnixMilli(ms), nil
+}
--- /dev/null
+++ b/node/ingress.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"verbenatrestle/request"
+	"verbenatrestle/request/quarantine"
+	"verbenatrestle/version"
+)
+
+// ingress answers callers.
+type ingress struct {
+	self       string
+	settings   Limits
+	snapshot   func() *version.Snapshot
+	limiter    *request.Limiter
+	quarantine *quarantine.Table
+	// idempotent runs requests that may be run again, owned the others.
+	idempotent func(ctx context.Context, o *order) result
+	owned      func(ctx context.Context, o *order) result
+	metrics    *requestMetrics
+	inFlight   atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (g *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	g.metrics.requests.Inc(1)
+	defer g.metrics.latency.UpdateSince(start)
+	defer g.inFlight.Add(-1)
+	if g.inFlight.Add(1) > int64(g.settings.MaxCallerInFlight) {
+		g.fail(w, r, withRetryAfter(g.refusal(http.StatusServiceUnavailable, "accept", "node is full", nil), time.Second))
+		return
+	}
+	o, failure := g.readOrder(w, r, start)
+	if failure != nil {
+		g.fail(w, r, failure)
+		return
+	}
+	release, failure := g.acquire(o, start)
+	if failure != nil {
+		g.fail(w, r, failure)
+		return
+	}
+	defer release()
+	g.serve(w, r, o)
+}
+
+// serve runs the order and answers the caller.
+func (g *ingress) serve(w http.ResponseWriter, r *http.Request, o *order) {
+	ctx, cancel := context.WithDeadline(r.Context(), o.deadline.Time())
+	defer cancel()
+	run := g.idempotent
+	if !o.route.Idempotent {
+		run = g.owned
+	}
+	res := run(ctx, o)
+	if res.failure != nil {
+		g.fail(w, r, res.failure)
+		return
+	}
+	w.Header().Set(request.HeaderRequestID, o.id)
+	res.answer.writeTo(w)
+}
+
+// fail answers with a failure, at once.
+func (g *ingress) fail(w http.ResponseWriter, r *http.Request, f *request.Failure) {
+	switch {
+	case r.Context().Err() != nil:
+		g.metrics.cancelled.Inc(1)
+	case f.Outcome == request.NotRun:
+		g.metrics.notRun.Inc(1)
+	default:
+		g.metrics.unknown.Inc(1)
+	}
+	f.Write(w)
+}
+
+// refusal is a failure at this node before the request went anywhere.
+func (g *ingress) refusal(status int, step, title string, err error) *request.Failure {
+	return newFailure(status, request.NotRun, step, g.self, title, err)
+}
+
+// readOrder routes the request and reads it whole.
+func (g *ingress) readOrder(w http.ResponseWriter, r *http.Request, now time.Time) (*order, *request.Failure) {
+	service, route, err := g.snapshot().Route(r.Host, r.Method, r.URL.Path)
+	if err != nil {
+		return nil, g.refusal(routeStatus(w, err), "route", "no route", err)
+	}
+	key, failure := g.idempotencyKey(route, r.Header)
+	if failure != nil {
+		return nil, failure
+	}
+	deadline, err := request.NewDeadline(now, r.Header.Get(request.HeaderTimeout), route.Timeout)
+	if err != nil {
+		return nil, g.refusal(http.StatusBadRequest, "read timeout", "bad timeout", err)
+	}
+	body, failure := g.readBody(w, r, route)
+	if failure != nil {
+		return nil, failure
+	}
+	o := &order{
+		id:       uuid.NewString(),
+		service:  service,
+		route:    route,
+		method:   r.Method,
+		uri:      r.URL.RequestURI(),
+		header:   endToEnd(r.Header),
+		body:     body,
+		key:      key,
+		deadline: deadline,
+	}
+	o.header.Set("X-Forwarded-Host", r.Host)
+	o.fingerprint = request.NewFingerprint(o.method, string(service.ID)+o.uri, body)
+	return o, nil
+}
+
+// routeStatus returns the HTTP status of a routing error.
+func routeStatus(w http.ResponseWriter, err error) int {
+	var method *version.MethodNotAllowedError
+	if errors.As(err, &method) {
+		for _, m := range method.Allowed {
+			w.Header().Add("Allow", m)
+		}
+		return http.StatusMethodNotAllowed
+	}
+	var host *version.UnknownHostError
+	if errors.As(err, &host) {
+		return http.StatusMisdirectedRequest
+	}
+	return http.StatusNotFound
+}
+
+// idempotencyKey returns the request's key. A non-idempotent route that does
+// not want one gets a new one, so that the nodes can try again safely.
+func (g *ingress) idempotencyKey(route *version.Route, h http.Header) (string, *request.Failure) {
+	if route.Idempotent {
+		return "", nil
+	}
+	if key := h.Get(request.HeaderIdempotencyKey); key != "" {
+		return key, nil
+	}
+	if route.KeyRequired {
+		return "", g.refusal(http.StatusBadRequest, "read key", "no idempotency key",
+			errors.Errorf("route %s is not idempotent and wants the header %s", route.Name, request.HeaderIdempotencyKey))
+	}
+	key, err := uuid.NewV7()
+	if err != nil {
+		return "", g.refusal(http.StatusInternalServerError, "make key", "no random numbers", err)
+	}
+	return key.String(), nil
+}
+
+// readBody reads the whole body within the route's and the node's limit.
+func (g *ingress) readBody(w http.ResponseWriter, r *http.Request, route *version.Route) ([]byte, *request.Failure) {
+	limit := g.settings.MaxBodyBytes
+	if route.MaxBodyBytes > 0 {
+		limit = min(limit, route.MaxBodyBytes)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, g.refusal(http.StatusRequestEntityTooLarge, "read body", "body too large", err)
+	}
+	if err != nil {
+		return nil, g.refusal(http.StatusBadRequest, "read body", "body broke off", err)
+	}
+	return body, nil
+}
+
+// acquire checks the quarantine and the limits. The returned function must be
+// called when the request has ended.
+func (g *ingress) acquire(o *order, now time.Time) (func(), *request.Failure) {
+	verdict, left := g.quarantine.Check(o.fingerprint, now)
+	if verdict == quarantine.Quarantined {
+		f := g.refusal(http.StatusUnprocessableEntity, "quarantine", "request is quarantined",
+			errors.New("targets crashed while they ran this request"))
+		return nil, withRetryAfter(f, left)
+	}
+	o.suspect = verdict == quarantine.Suspect
+	organisation := request.ShareKey{Organisation: o.service.ID.Organisation()}
+	service := request.ShareKey{Organisation: organisation.Organisation, Service: o.service.ID.Name()}
+	if refusal := g.limiter.Acquire(organisation, now); refusal != nil {
+		return nil, g.overLimit(refusal)
+	}
+	if refusal := g.limiter.Acquire(service, now); refusal != nil {
+		g.limiter.Release(organisation)
+		return nil, g.overLimit(refusal)
+	}
+	return func() {
+		g.limiter.Release(service)
+		g.limiter.Release(organisation)
+	}, nil
+}
+
+// overLimit is the final answer to a request over its limits.
+func (g *ingress) overLimit(r *request.LimitRefusal) *request.Failure {
+	f := g.refusal(http.StatusTooManyRequests, "limit", "over the limit", r)
+	return withRetryAfter(f, max(r.RetryAfter, time.Second))
+}
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"verbenatrestle/process/membership"
+	"verbenatrestle/process/platform"
+)
+
+const (
+	// memberPrefix is where member objects lie at the platform.
+	memberPrefix = "members/"
+	// earlyLists is how many times a node lists the members soon after its
+	// start, when others may be starting as well.
+	earlyLists = 3
+	// earlyListPause is the mean time between those lists.
+	earlyListPause = 3 * time.Second
+	// listPause is the mean time between later lists, which heal a fleet that
+	// fell into parts that know nothing of each other.
+	listPause = 10 * time.Minute
+)
+
+// directory keeps the node's member object at the platform and reads those of
+// the others. The object is written when it changes, not as a heartbeat.
+type directory struct {
+	client *platform.Client
+	table  *membership.Table
+	send   func(time.Time, []membership.Member)
+	logger log.Logger
+	rng    *rand.Rand
+
+	mu      sync.Mutex
+	wanted  *membership.Member
+	version uint64
+	wake    chan struct{}
+}
+
+func newDirectory(client *platform.Client, table *membership.Table, seed func(time.Time, []membership.Member), logger log.Logger, rng *rand.Rand) *directory {
+	return &directory{
+		client: client,
+		table:  table,
+		send:   seed,
+		logger: logger,
+		rng:    rng,
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// publish has the member object written, now or when the platform is back.
+func (d *directory) publish(m membership.Member) {
+	d.mu.Lock()
+	d.wanted = &m
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runWriter writes the member object whenever it changes.
+func (d *directory) runWriter(ctx context.Context) {
+	var backoff platform.Backoff
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		}
+		for ctx.Err() == nil {
+			err := d.writeOnce(ctx)
+			if err == nil {
+				backoff.Reset()
+				break
+			}
+			_ = level.Debug(d.logger).Log("msg", "write member object", "err", err)
+			pause(ctx, backoff.Next(rng))
+		}
+	}
+}
+
+// writeOnce writes the wanted object, over whatever there is: nobody else
+// writes it, so a conflict shows an earlier life or an answer that was lost.
+func (d *directory) writeOnce(ctx context.Context) error {
+	d.mu.Lock()
+	wanted := d.wanted
+	known := d.version
+	d.mu.Unlock()
+	value, err := json.Marshal(wanted)
+	if err != nil {
+		return errors.Wrap(err, "encode member object")
+	}
+	written, err := d.client.Put(ctx, memberPrefix+wanted.Node, value, known)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		written = conflict.Version
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if written > 0 {
+		d.version = written
+	}
+	return err
+}
+
+// remove deletes the member object of a node that leaves for good.
+func (d *directory) remove(ctx context.Context) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wanted == nil || d.version == 0 {
+		return nil
+	}
+	return d.client.Delete(ctx, memberPrefix+d.wanted.Node, d.version)
+}
+
+// runReader lists the members at the start, a few times soon after, and then
+// now and again. It calls first once after the first list.
+func (d *directory) runReader(ctx context.Context, first func()) {
+	var backoff platform.Backoff
+	for n := 0; ctx.Err() == nil; {
+		if err := d.list(ctx); err != nil {
+			_ = level.Debug(d.logger).Log("msg", "list members", "err", err)
+			pause(ctx, backoff.Next(d.rng))
+			continue
+		}
+		backoff.Reset()
+		if n == 0 {
+			first()
+		}
+		mean := listPause
+		if n < earlyLists || d.alone() {
+			mean = earlyListPause
+		}
+		n++
+		pause(ctx, mean/2+rand.N(mean))
+	}
+}
+
+// alone reports whether the node knows no other that is present.
+func (d *directory) alone() bool {
+	return len(d.table.Neighbours()) == 0
+}
+
+// list reads all member objects and tells membership.
+func (d *directory) list(ctx context.Context) error {
+	objects, _, err := d.client.List(ctx, memberPrefix)
+	if err != nil {
+		return err
+	}
+	members := make([]membership.Member, 0, len(objects))
+	for _, o := range objects {
+		var m membership.Member
+		if err := json.Unmarshal(o.Value, &m); err != nil {
+			_ = level.Warn(d.logger).Log("msg", "decode member object", "step", "list members", "peer", o.Key, "err", err)
+			continue
+		}
+		m.Status = membership.Alive
+		members = append(members, m)
+	}
+	d.send(time.Now(), members)
+	return nil
+}
--- /dev/null
+++ b/node/messages.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"verbenatrestle/connection/wire"
+	"verbenatrestle/process/membership"
+	"verbenatrestle/process/ownership/message"
+	"verbenatrestle/request/quarantine"
+)
+
+// Kinds of the messages of this package.
+const (
+	kindConfigAnnounce   wire.Kind = 50
+	kindConfigPull       wire.Kind = 51
+	kindConfigDocument   wire.Kind = 52
+	kindQuarantineExport wire.Kind = 53
+)
+
+// configAnnounce tells a peer which configuration version is in force here.
+type configAnnounce struct {
+	Version uint64
+}
+
+// configPull asks a peer for its configuration.
+type configPull struct {
+	// Have is the version in force at the node that asks.
+	Have uint64
+}
+
+// configDocument carries an encoded version.Document.
+type configDocument struct {
+	Version uint64
+	Data    []byte
+}
+
+// quarantineExport carries all crashes and clears that a node knows.
+type quarantineExport struct {
+	Message quarantine.Message
+}
+
+// newCodec returns a codec that knows every message between nodes.
+func newCodec() *wire.Codec {
+	c := wire.NewCodec()
+	membership.Register(c)
+	message.Register(c)
+	c.Register(kindConfigAnnounce, (*configAnnounce)(nil))
+	c.Register(kindConfigPull, (*configPull)(nil))
+	c.Register(kindConfigDocument, (*configDocument)(nil))
+	c.Register(kindQuarantineExport, (*quarantineExport)(nil))
+	return c
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"github.com/rcrowley/go-metrics"
+)
+
+// requestMetrics counts what happens to requests at this node.
+type requestMetrics struct {
+	requests     metrics.Counter
+	retries      metrics.Counter
+	ownerRetries metrics.Counter
+	hedges       metrics.Counter
+	hedgesWon    metrics.Counter
+	notRun       metrics.Counter
+	unknown      metrics.Counter
+	cancelled    metrics.Counter
+	latency      metrics.Timer
+}
+
+func newRequestMetrics(r metrics.Registry) *requestMetrics {
+	return &requestMetrics{
+		requests:     metrics.NewRegisteredCounter("ingress.requests", r),
+		retries:      metrics.NewRegisteredCounter("dispatch.retries", r),
+		ownerRetries: metrics.NewRegisteredCounter("owner.retries", r),
+		hedges:       metrics.NewRegisteredCounter("dispatch.hedges", r),
+		hedgesWon:    metrics.NewRegisteredCounter("dispatch.hedges_won", r),
+		notRun:       metrics.NewRegisteredCounter("ingress.not_run", r),
+		unknown:      metrics.NewRegisteredCounter("ingress.unknown", r),
+		cancelled:    metrics.NewRegisteredCounter("ingress.cancelled", r),
+		latency:      metrics.NewRegisteredTimer("ingress.latency", r),
+	}
+}
--- /dev/null
+++ b/node/order.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/request"
+	"verbenatrestle/version"
+)
+
+// order is one request that the node has read whole, with what it knows of it.
+type order struct {
+	// id identifies the request on every hop.
+	id string
+	// service and route are what the request is for.
+	service *version.Service
+	route   *version.Route
+	// method and uri are as the caller sent them.
+	method string
+	uri    string
+	// header holds the caller's headers that go to the target.
+	header http.Header
+	// body is the whole body.
+	body []byte
+	// key is the idempotency key, empty on idempotent routes.
+	key string
+	// fingerprint identifies requests that are alike, for quarantine.
+	fingerprint request.Fingerprint
+	// suspect says that the request was in flight when a target crashed.
+	suspect bool
+	// deadline is when the caller stops waiting.
+	deadline request.Deadline
+	// expiry is when the order must not reach a target any more. Zero: never.
+	expiry time.Time
+}
+
+// httpRequest returns the order as an HTTP request to base, a URL without
+// path. It fails when the deadline is too near to send it on.
+func (o *order) httpRequest(ctx context.Context, base string, now time.Time) (*http.Request, error) {
+	left, ok := o.deadline.NextHop(now)
+	if !ok {
+		return nil, errDeadline
+	}
+	r, err := http.NewRequestWithContext(ctx, o.method, base+o.uri, o.newBody())
+	if err != nil {
+		return nil, errors.Wrapf(err, "make request for %s", base)
+	}
+	r.ContentLength = int64(len(o.body))
+	r.Header = o.header.Clone()
+	r.Header.Set(request.HeaderRequestID, o.id)
+	r.Header.Set(request.HeaderTimeout, left)
+	if o.key != "" {
+		r.Header.Set(request.HeaderIdempotencyKey, o.key)
+	}
+	return r, nil
+}
+
+// errDeadline says that there is no time left to send a request on.
+var errDeadline = errors.New("no time left before the deadline")
+
+// newBody returns a reader of the body. The HTTP transport sends a request
+// again by itself if it looks idempotent to it, which an idempotency key alone
+// makes it do. It can't when it does not know the type of the reader.
+func (o *order) newBody() io.Reader {
+	reader := bytes.NewReader(o.body)
+	if o.route.Idempotent {
+		return reader
+	}
+	return io.NopCloser(reader)
+}
+
+// hopRequest is httpRequest with the headers of a hop between nodes.
+func (o *order) hopRequest(ctx context.Context, base, hop string, now time.Time) (*http.Request, error) {
+	r, err := o.httpRequest(ctx, base, now)
+	if err != nil {
+		return nil, err
+	}
+	h := r.Header
+	h.Set(request.HeaderHop, hop)
+	h.Set(request.HeaderService, string(o.service.ID))
+	h.Set(request.HeaderRoute, o.route.Name)
+	h.Set(headerFingerprint, o.fingerprint.String())
+	if o.suspect {
+		h.Set(request.HeaderSuspect, "1")
+	}
+	if !o.expiry.IsZero() {
+		h.Set(request.HeaderExpiry, strconv.FormatInt(o.expiry.UnixMilli(), 10))
+	}
+	return r, nil
+}
+
+// headerFingerprint carries order.fingerprint between nodes.
+const headerFingerprint = "Vt-Fingerprint"
+
+// headerHopKey carries the peer key, which proves that a node sent the hop.
+const headerHopKey = "Vt-Hop-Key"
+
+// hopHeaders are the headers that only nodes exchange. They are taken off what
+// callers send and off what goes to targets.
+var hopHeaders = []string{
+	request.HeaderHop,
+	request.HeaderService,
+	request.HeaderRoute,
+	request.HeaderSuspect,
+	request.HeaderExpiry,
+	request.HeaderLoad,
+	request.HeaderOutcome,
+	headerFingerprint,
+	headerHopKey,
+}
+
+// connectionHeaders belong to one connection and are never sent on.
+var connectionHeaders = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// endToEnd returns a copy of the headers without those of the connection and
+// without those that nodes exchange.
+func endToEnd(in http.Header) http.Header {
+	out := in.Clone()
+	for _, names := range in["Connection"] {
+		for _, name := range splitList(names) {
+			out.Del(name)
+		}
+	}
+	for _, name := range connectionHeaders {
+		out.Del(name)
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/node/owner.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/process/ownership"
+	"verbenatrestle/process/ownership/claim"
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+)
+
+const stepClaim = "claim"
+
+// claims is what the owner needs of ownership.Runner.
+type claims interface {
+	Claim(ownership.Request) ownership.Decision
+	Complete(ownership.Ticket, *claim.Answer)
+	Abort(ownership.Ticket)
+	Lost(ownership.Ticket)
+}
+
+// owner runs non-idempotent requests whose keys this node owns.
+type owner struct {
+	self     string
+	claims   claims
+	dispatch func(ctx context.Context, o *order) result
+	// maxAnswer bounds an answer that is kept, in bytes.
+	maxAnswer int64
+}
+
+// serve implements orderServer.
+func (w *owner) serve(ctx context.Context, o *order) result {
+	for {
+		d := w.claims.Claim(ownership.Request{Service: string(o.service.ID), Key: o.key, Expires: o.expiry})
+		switch d.Verdict {
+		case ownership.Run:
+			return w.run(ctx, o, d)
+		case ownership.Replay:
+			return replay(d.Answer)
+		case ownership.InProgress:
+			if !wait(ctx, d.Wait) {
+				return failed(balance.Failed, newFailure(http.StatusGatewayTimeout, request.Unknown, stepClaim, w.self,
+					"out of time", errors.New("the operation still runs for an earlier request")))
+			}
+		default:
+			return w.decline(d)
+		}
+	}
+}
+
+// wait returns true once done is closed, false when the context ends first.
+func wait(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run runs the operation once. It goes on when the caller leaves, since its
+// end must be known.
+func (w *owner) run(ctx context.Context, o *order, d ownership.Decision) result {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), o.deadline.Time())
+	defer cancel()
+	o.expiry = d.Expiry
+	res := w.dispatch(ctx, o)
+	if res.failure == nil {
+		return w.complete(d.Ticket, res)
+	}
+	if res.failure.Outcome == request.NotRun {
+		w.claims.Abort(d.Ticket)
+		return res
+	}
+	w.claims.Lost(d.Ticket)
+	return res
+}
+
+// complete keeps the answer, and then hands it out.
+func (w *owner) complete(t ownership.Ticket, res result) result {
+	if err := res.answer.readAll(w.maxAnswer); err != nil {
+		w.claims.Lost(t)
+		return failed(balance.Failed, newFailure(http.StatusBadGateway, request.Unknown, "read answer", res.answer.node,
+			"answer is not whole", err))
+	}
+	w.claims.Complete(t, &claim.Answer{Status: res.answer.status, Header: res.answer.header, Body: res.answer.head})
+	return res
+}
+
+// replay hands out a kept answer.
+func replay(kept *claim.Answer) result {
+	a := &answer{
+		status: kept.Status,
+		header: http.Header(kept.Header).Clone(),
+		head:   kept.Body,
+		length: int64(len(kept.Body)),
+	}
+	a.header.Set(headerReplayed, "true")
+	return result{answer: a, kind: balance.Answered}
+}
+
+// headerReplayed marks a kept answer to an operation that had been run before.
+const headerReplayed = "Idempotent-Replayed"
+
+// decline answers a request that is not run here.
+func (w *owner) decline(d ownership.Decision) result {
+	status := http.StatusServiceUnavailable
+	outcome := request.NotRun
+	title := "not run by the owner"
+	switch d.Verdict {
+	case ownership.NotOwner:
+		status = http.StatusMisdirectedRequest
+		title = "not the owner"
+	case ownership.Unknown:
+		status = http.StatusConflict
+		outcome = request.Unknown
+		title = "an earlier run's end is unknown"
+	case ownership.Done:
+		status = http.StatusConflict
+		outcome = request.Done
+		title = "run before, answer no longer kept"
+	}
+	if permanent(d.Reason) {
+		status = http.StatusConflict
+	}
+	f := newFailure(status, outcome, stepClaim, w.self, title, errors.New(string(d.Reason)))
+	f.RetryAfter = d.RetryAfter
+	res := failed(balance.Refused, f)
+	res.owner = d.Owner
+	return res
+}
+
+// permanent reports whether a refusal stands however often the caller asks.
+func permanent(r ownership.Reason) bool {
+	switch r {
+	case ownership.ReasonExpiredKey, ownership.ReasonInvalidKey, ownership.ReasonExpired:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/node/ownerrouter.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/process/ownership/fence"
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+)
+
+// ownerRouter sends a non-idempotent request to the owner of its key.
+type ownerRouter struct {
+	self    string
+	ownerOf func(service, key string) (node string, ok bool)
+	// answered and failed tell ownership whether an owner can be reached.
+	answered func(service, key string)
+	failed   func(service, key string)
+	local    orderServer
+	hops     *hopClient
+	metrics  *requestMetrics
+}
+
+const (
+	// maxOwnerAttempts bounds how often a request is sent to an owner.
+	maxOwnerAttempts = 5
+	// ownerRetryDelay is the pause before a request is sent to an owner again.
+	ownerRetryDelay = 20 * time.Millisecond
+	// noOwnerRetryAfter is when a caller may come back that found no owner.
+	noOwnerRetryAfter = time.Second
+)
+
+// route runs the order at its owner. Sending it again under the same key is
+// safe, since an owner runs a key once.
+func (r *ownerRouter) route(ctx context.Context, o *order) result {
+	if _, dated := fence.KeyTime(o.key); !dated {
+		o.expiry = o.deadline.Time()
+	}
+	var all settled
+	hint := ""
+	for range maxOwnerAttempts {
+		res := r.attempt(ctx, o, hint)
+		hint = res.owner
+		res = all.add(res)
+		if !r.again(&res) || !pause(ctx, ownerRetryDelay) {
+			break
+		}
+		r.metrics.ownerRetries.Inc(1)
+	}
+	return forCaller(all.last)
+}
+
+// forCaller makes a failure at the owner one that means something to callers.
+func forCaller(res result) result {
+	f := res.failure
+	if f == nil || f.Outcome == request.Done {
+		return res
+	}
+	if f.Status == http.StatusMisdirectedRequest {
+		f.Status = http.StatusServiceUnavailable
+	}
+	if f.RetryAfter == 0 && f.Status >= http.StatusInternalServerError {
+		f.RetryAfter = noOwnerRetryAfter
+	}
+	return res
+}
+
+// attempt sends the order to its owner once.
+func (r *ownerRouter) attempt(ctx context.Context, o *order, hint string) result {
+	service := string(o.service.ID)
+	node := hint
+	if node == "" {
+		node, _ = r.ownerOf(service, o.key)
+	}
+	if node == "" {
+		f := newFailure(http.StatusServiceUnavailable, request.NotRun, "find owner", r.self, "no owner",
+			errors.Errorf("no owner of the key is known in service %s", service))
+		return failed(balance.Refused, withRetryAfter(f, noOwnerRetryAfter))
+	}
+	if node == r.self {
+		copied := *o
+		return r.local.serve(ctx, &copied)
+	}
+	res := r.hops.send(ctx, node, request.HopOwner, o)
+	if res.kind == balance.Failed && res.answer == nil {
+		r.failed(service, o.key)
+	} else {
+		r.answered(service, o.key)
+	}
+	return res
+}
+
+// again reports whether sending the order once more may help.
+func (r *ownerRouter) again(res *result) bool {
+	if res.answer != nil {
+		return false
+	}
+	f := res.failure
+	if f.Step == stepClaim {
+		return f.Status == http.StatusMisdirectedRequest
+	}
+	return f.Step == "hop to "+request.HopOwner
+}
--- /dev/null
+++ b/node/path_test.go
@@ -0,0 +1,352 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"verbenatrestle/connection/load"
+	"verbenatrestle/internal/testseed"
+	"verbenatrestle/process/admission"
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+	"verbenatrestle/request/quarantine"
+	"verbenatrestle/version"
+)
+
+func TestNode(t *testing.T) {
+	testseed.RunSpecs(t, "node")
+}
+
+// path is the way of a request through an ingress and some guards, each guard
+// in a node of its own behind a real hop, each target a handler of the spec.
+type path struct {
+	ingress *ingress
+	caller  *httptest.Server
+	guards  map[string]*guard
+	runs    atomic.Int64
+}
+
+const testPeerKey = "peer key of the specs"
+
+var testRoutes = []version.Route{
+	{Name: "lookup", Methods: []string{"GET"}, PathPrefix: "/s/", Idempotent: true, Timeout: 2 * time.Second},
+	{Name: "file", Methods: []string{"POST"}, PathPrefix: "/s/", KeyRequired: true, Timeout: 2 * time.Second, MaxBodyBytes: 1000},
+}
+
+// newPath builds a path to one target for each handler, named n0, n1, ...
+func newPath(targets ...http.HandlerFunc) *path {
+	p := &path{guards: make(map[string]*guard)}
+	service := version.Service{ID: "org/s", PathPrefix: "/s/", Routes: testRoutes, Partitions: 1}
+	organisation := &version.Organisation{Name: "org", Hosts: []string{"org.example"}, Services: []version.Service{service}}
+	snapshot := version.NewSnapshot(1, time.Now(), []*version.Organisation{organisation}, nil, nil)
+	current := func() *version.Snapshot { return snapshot }
+	addresses := make(map[string]string)
+	var endpoints []balance.Endpoint
+	for i, target := range targets {
+		name := fmt.Sprintf("n%d", i)
+		p.guards[name] = p.startGuard(name, target)
+		hop := httptest.NewServer(&hopServer{self: name, key: testPeerKey, snapshot: current, guard: p.guards[name]})
+		DeferCleanup(hop.Close)
+		addresses[name] = strings.TrimPrefix(hop.URL, "http://")
+		endpoints = append(endpoints, balance.Endpoint{Node: name, State: load.Warm, Slots: 10, ColdLimit: 10})
+	}
+	policy, err := balance.New(balance.Default)
+	Expect(err).NotTo(HaveOccurred())
+	table := balance.NewTable(policy, balance.Local{})
+	table.SetEndpoints("org/s", endpoints)
+	resolve := func(node string) (string, bool) { a, ok := addresses[node]; return a, ok }
+	counters := newRequestMetrics(metrics.NewRegistry())
+	hops := newHopClient(HopHTTP1, testPeerKey, resolve)
+	d := &dispatcher{
+		table:   table,
+		budgets: newBudgets(Budgets{RetryShare: 1, HedgeShare: 1}),
+		guards:  &guardRouter{self: "ingress", hops: hops},
+		rngs:    newRandoms(),
+		metrics: counters,
+	}
+	p.ingress = &ingress{
+		self:       "ingress",
+		settings:   Limits{MaxBodyBytes: 1 << 20, MaxCallerInFlight: 100},
+		snapshot:   current,
+		limiter:    request.NewLimiter(),
+		quarantine: quarantine.New(quarantine.DefaultSettings),
+		idempotent: d.dispatch,
+		owned:      d.dispatch,
+		metrics:    counters,
+	}
+	p.caller = httptest.NewServer(p.ingress)
+	DeferCleanup(p.caller.Close)
+	return p
+}
+
+// startGuard starts a target and returns the guard beside it.
+func (p *path) startGuard(name string, target http.HandlerFunc) *guard {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.runs.Add(1)
+		w.Header().Set(request.HeaderRequestID, r.Header.Get(request.HeaderRequestID))
+		target(w, r)
+	}))
+	DeferCleanup(server.Close)
+	core, err := admission.New(admission.DefaultSettings, newRandom())
+	Expect(err).NotTo(HaveOccurred())
+	core.Announce(admission.Target{Instance: name, Slots: 10, Connections: 20, ColdLimit: 10}, time.Now())
+	core.SetConnections(20)
+	g := &guard{
+		self:       name,
+		admission:  core,
+		quarantine: quarantine.New(quarantine.DefaultSettings),
+		spread:     func(quarantine.Message) {},
+		broken:     func(string) {},
+	}
+	g.target.Store(newTargetClient(strings.TrimPrefix(server.URL, "http://"), 20, func(int) {}))
+	return g
+}
+
+// call sends a request through the ingress. The body is "" if it broke off.
+func (p *path) call(method, target, body string, header map[string]string) (int, http.Header, string) {
+	r, err := http.NewRequest(method, p.caller.URL+target, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "org.example"
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, resp.Header, ""
+	}
+	return resp.StatusCode, resp.Header, string(answer)
+}
+
+// get looks something up.
+func (p *path) get(target string) (int, http.Header, string) {
+	return p.call(http.MethodGet, target, "", nil)
+}
+
+// post files something under a key.
+func (p *path) post(body string) (int, http.Header, string) {
+	return p.call(http.MethodPost, "/s/entries", body, map[string]string{request.HeaderIdempotencyKey: "k1"})
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
+}
+
+// cutShort promises more than it sends.
+func cutShort(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte("half"))
+	panic(http.ErrAbortHandler)
+}
+
+// breakOff ends the connection without an answer.
+func breakOff(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+// sheds refuses by the target's word, before any work.
+func sheds(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(request.HeaderOutcome, string(request.NotRun))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// otherAnswer answers a request that nobody sent.
+func otherAnswer(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(request.HeaderRequestID, "another")
+	_, _ = w.Write([]byte("not yours"))
+}
+
+var _ = Describe("a request's way", func() {
+	It("carries method, path, query and body to the target and the answer back", func() {
+		p := newPath(echo)
+		status, header, body := p.get("/s/peaks?name=anamudi")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("GET /s/peaks?name=anamudi "))
+		Expect(header.Get(request.HeaderLoad)).To(BeEmpty())
+		_, _, body = p.post("an entry")
+		Expect(body).To(Equal("POST /s/entries an entry"))
+	})
+
+	It("gives each of many callers its own whole answer", func() {
+		p := newPath(echo, echo, echo)
+		var group sync.WaitGroup
+		for i := range 200 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				query := "/s/peaks?n=" + strconv.Itoa(i)
+				status, _, body := p.get(query)
+				if status == http.StatusOK {
+					Expect(body).To(Equal("GET " + query + " "))
+				}
+			})
+		}
+		group.Wait()
+	})
+
+	It("streams an answer that is longer than it buffers", func() {
+		long := strings.Repeat("0123456789abcdef", 3*bufferedAnswerBytes/16)
+		p := newPath(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, long) })
+		_, _, body := p.get("/s/archive")
+		Expect(body).To(Equal(long))
+		Eventually(p.guards["n0"].admission.Idle).Should(BeTrue())
+	})
+
+	It("never passes off a long answer that breaks off as a whole one", func() {
+		p := newPath(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(4*bufferedAnswerBytes))
+			_, _ = w.Write(make([]byte, 2*bufferedAnswerBytes))
+			panic(http.ErrAbortHandler)
+		})
+		_, _, body := p.get("/s/archive")
+		Expect(body).To(BeEmpty())
+		Eventually(p.guards["n0"].admission.Idle).Should(BeTrue())
+	})
+
+	DescribeTable("an idempotent request goes to another target after",
+		func(bad http.HandlerFunc) {
+			p := newPath(bad, echo)
+			for range 4 {
+				status, _, body := p.get("/s/peaks")
+				Expect(status).To(Equal(http.StatusOK))
+				Expect(body).To(Equal("GET /s/peaks "))
+			}
+		},
+		Entry("an answer cut short", http.HandlerFunc(cutShort)),
+		Entry("a connection that breaks", http.HandlerFunc(breakOff)),
+		Entry("an answer to another request", http.HandlerFunc(otherAnswer)),
+		Entry("a refusal by the target", http.HandlerFunc(sheds)),
+	)
+
+	DescribeTable("a non-idempotent request is not sent again after",
+		func(bad http.HandlerFunc) {
+			p := newPath(bad, bad)
+			_, header, _ := p.post("an entry")
+			Expect(header.Get(request.HeaderOutcome)).To(Equal(string(request.Unknown)))
+			Expect(p.runs.Load()).To(BeEquivalentTo(1))
+		},
+		Entry("an answer cut short", http.HandlerFunc(cutShort)),
+		Entry("a connection that breaks", http.HandlerFunc(breakOff)),
+		Entry("an answer to another request", http.HandlerFunc(otherAnswer)),
+	)
+
+	It("sends a non-idempotent request without a body once over a connection in use", func() {
+		first := true
+		p := newPath(func(w http.ResponseWriter, r *http.Request) {
+			if !first {
+				breakOff(w, r)
+			}
+			first = false
+		})
+		p.post("")
+		p.post("")
+		Expect(p.runs.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("tries a non-idempotent request elsewhere once it was refused", func() {
+		p := newPath(sheds, echo)
+		status, _, _ := p.post("an entry")
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
+	It("says not-run at once, and when to come back, of what every target refused", func() {
+		p := newPath(sheds, sheds)
+		status, header, _ := p.post("an entry")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(header.Get(request.HeaderOutcome)).To(Equal(string(request.NotRun)))
+		Expect(header.Get("Content-Type")).To(Equal(request.ContentTypeProblem))
+	})
+
+	It("takes the deadline to the target and cancels what nobody waits for", func() {
+		cancelled := make(chan struct{})
+		var left atomic.Int64
+		p := newPath(func(_ http.ResponseWriter, r *http.Request) {
+			ms, _ := strconv.ParseInt(r.Header.Get(request.HeaderTimeout), 10, 64)
+			left.Store(ms)
+			<-r.Context().Done()
+			close(cancelled)
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.caller.URL+"/s/slow", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "org.example"
+		r.Header.Set(request.HeaderTimeout, "1500")
+		go func() {
+			for left.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		_, err = http.DefaultClient.Do(r)
+		Expect(err).To(HaveOccurred())
+		Eventually(cancelled, "10s").Should(BeClosed())
+		Expect(left.Load()).To(BeNumerically("<", 1500))
+		Eventually(p.guards["n0"].admission.Idle, "10s").Should(BeTrue())
+	})
+})
+
+var _ = Describe("bad input", func() {
+	DescribeTable("is answered as not run, with a clear error",
+		func(method, target, body string, header map[string]string, status int, title string) {
+			p := newPath(echo)
+			got, h, answer := p.call(method, target, body, header)
+			Expect(got).To(Equal(status))
+			Expect(h.Get(request.HeaderOutcome)).To(Equal(string(request.NotRun)))
+			Expect(answer).To(ContainSubstring(title))
+			Expect(p.runs.Load()).To(BeZero())
+		},
+		Entry("unknown service", "GET", "/other/x", "", nil, 404, "no route"),
+		Entry("wrong method", "DELETE", "/s/x", "", nil, 405, "no route"),
+		Entry("no key", "POST", "/s/entries", "x", nil, 400, "no idempotency key"),
+		Entry("bad timeout", "GET", "/s/x", "", map[string]string{request.HeaderTimeout: "soon"}, 400, "bad timeout"),
+		Entry("large body", "POST", "/s/entries", strings.Repeat("x", 2000),
+			map[string]string{request.HeaderIdempotencyKey: "k"}, 413, "body too large"),
+	)
+
+	It("is a host that no organisation has", func() {
+		p := newPath(echo)
+		resp, err := http.Get(p.caller.URL + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusMisdirectedRequest))
+	})
+
+	It("is a body that breaks off", func() {
+		p := newPath(echo)
+		conn, err := net.Dial("tcp", strings.TrimPrefix(p.caller.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		fmt.Fprintf(conn, "POST /s/entries HTTP/1.1\r\nHost: org.example\r\n%s: k\r\nContent-Length: 50\r\n\r\nhalf", request.HeaderIdempotencyKey)
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		answer, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(ContainSubstring("body broke off"))
+		Expect(p.runs.Load()).To(BeZero())
+	})
+
+	It("is a hop without the peer key", func() {
+		p := newPath(echo)
+		hop := httptest.NewServer(&hopServer{self: "n0", key: testPeerKey, snapshot: p.ingress.snapshot, guard: p.guards["n0"]})
+		defer hop.Close()
+		resp, err := http.Get(hop.URL + "/s/x")
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusUnauthorized))
+		Expect(p.runs.Load()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"verbenatrestle/connection/peerlink"
+	"verbenatrestle/connection/wire"
+	"verbenatrestle/process/membership"
+	"verbenatrestle/process/ownership"
+	"verbenatrestle/request/quarantine"
+)
+
+// membershipTick is how often the membership table is asked what is due.
+const membershipTick = 50 * time.Millisecond
+
+// peers carries messages between the links and the parts that they are for.
+type peers struct {
+	links      *peerlink.Links
+	table      *membership.Table
+	owners     *ownership.Runner
+	spread     *configSpread
+	quarantine *quarantine.Table
+	logger     log.Logger
+	// document returns the encoded configuration in force, if there is one.
+	document func() (version uint64, data []byte, ok bool)
+	// heard notes that a peer told its configuration version.
+	heard func(version uint64)
+	// offer takes in an encoded configuration from a peer.
+	offer func(from string, data []byte)
+}
+
+// HandleMessage implements peerlink.Handler.
+func (p *peers) HandleMessage(from string, message any) {
+	now := time.Now()
+	if membership.Handles(message) {
+		p.send(p.table.Handle(now, from, message))
+		return
+	}
+	if p.owners.Handle(from, message) {
+		return
+	}
+	switch m := message.(type) {
+	case *configAnnounce:
+		p.heard(m.Version)
+		p.send(p.spread.announced(from, m.Version, now))
+	case *configPull:
+		p.answerPull(from, m)
+	case *configDocument:
+		p.offer(from, m.Data)
+	case *quarantineExport:
+		p.quarantine.Merge(m.Message, now)
+	default:
+		_ = level.Warn(p.logger).Log("msg", "message without handler", "step", "handle message", "peer", from)
+	}
+}
+
+// answerPull sends the configuration to a peer that has an older one.
+func (p *peers) answerPull(from string, m *configPull) {
+	version, data, ok := p.document()
+	if !ok || version <= m.Have {
+		return
+	}
+	p.send([]wire.Envelope{{To: from, Message: &configDocument{Version: version, Data: data}}})
+}
+
+// LinkUp implements peerlink.Handler.
+func (p *peers) LinkUp(peer string) {
+	p.send(p.table.LinkUp(time.Now(), peer))
+	p.send(p.spread.greeting(peer))
+	if known := p.quarantine.Export(); !known.Empty() {
+		p.send([]wire.Envelope{{To: peer, Message: &quarantineExport{Message: known}}})
+	}
+}
+
+// LinkDown implements peerlink.Handler.
+func (p *peers) LinkDown(peer string, err error) {
+	if err == nil {
+		return
+	}
+	_ = level.Info(p.logger).Log("msg", "link down", "step", "link", "peer", peer, "err", err)
+	p.send(p.table.LinkDown(time.Now(), peer))
+}
+
+// send queues messages on the links. What a link drops is counted there, and
+// every protocol above sends again.
+func (p *peers) send(envelopes []wire.Envelope) {
+	for _, e := range envelopes {
+		_ = p.links.Send(e.To, e.Message)
+	}
+}
+
+// announceConfig returns an announcement to each neighbour.
+func (p *peers) announceConfig(version uint64) []wire.Envelope {
+	neighbours := p.table.Neighbours()
+	out := make([]wire.Envelope, 0, len(neighbours))
+	for _, n := range neighbours {
+		out = append(out, wire.Envelope{To: n, Message: &configAnnounce{Version: version}})
+	}
+	return out
+}
+
+// spreadQuarantine floods crashes and clears to all nodes.
+func (p *peers) spreadQuarantine(m quarantine.Message) {
+	payload, err := json.Marshal(m)
+	if err != nil {
+		_ = level.Error(p.logger).Log("msg", "encode quarantine", "err", err)
+		return
+	}
+	p.send(p.table.Flood(time.Now(), membership.TopicQuarantine, payload))
+}
+
+// takeQuarantine takes in what another node flooded.
+func (p *peers) takeQuarantine(now time.Time, r membership.Rumour) {
+	var m quarantine.Message
+	if err := json.Unmarshal(r.Payload, &m); err != nil {
+		_ = level.Warn(p.logger).Log("msg", "decode quarantine", "step", "handle rumour", "peer", r.Origin, "err", err)
+		return
+	}
+	p.quarantine.Merge(m, now)
+}
+
+// run ticks membership until the context ends.
+func (p *peers) run(ctx context.Context) {
+	ticker := time.NewTicker(membershipTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.send(p.table.Tick(now))
+		}
+	}
+}
--- /dev/null
+++ b/node/result.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"verbenatrestle/connection/load"
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+)
+
+// result is the end of one attempt: an answer, or the failure that stands in
+// for it.
+type result struct {
+	// answer is what the target answered, nil if it didn't.
+	answer *answer
+	// failure says why there is no answer. Nil if there is one.
+	failure *request.Failure
+	// kind tells the balancing table how the attempt ended.
+	kind balance.Kind
+	// sample is the load at the target's guard, if sampled.
+	sample  load.Sample
+	sampled bool
+	// owner is the node that a node which is not the owner points to.
+	owner string
+}
+
+// failed returns the result of an attempt that ended with a failure.
+func failed(kind balance.Kind, f *request.Failure) result {
+	return result{failure: f, kind: kind}
+}
+
+// retryable reports whether the answer is one that another target may better.
+func (r *result) retryable() bool {
+	if r.answer == nil {
+		return true
+	}
+	switch r.answer.status {
+	case http.StatusInternalServerError, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// notRun reports whether it is proved that the attempt was not run.
+func (r *result) notRun() bool {
+	return r.failure != nil && r.failure.Outcome == request.NotRun
+}
+
+// close gives up an answer that nobody reads.
+func (r *result) close() {
+	if r.answer != nil {
+		r.answer.close()
+	}
+}
+
+// newFailure returns a failure of the given step and peer.
+func newFailure(status int, outcome request.Outcome, step, peer, title string, cause error) *request.Failure {
+	f := &request.Failure{Status: status, Outcome: outcome, Step: step, Peer: peer, Title: title}
+	if cause != nil {
+		f.Detail = cause.Error()
+	}
+	return f
+}
+
+// withRetryAfter sets when the caller may come back, and returns the failure.
+func withRetryAfter(f *request.Failure, after time.Duration) *request.Failure {
+	f.RetryAfter = after
+	return f
+}
+
+// onClose has f called when the answer has been read or given up; at once
+// when there is nothing left to read.
+func (r *result) onClose(f func()) {
+	if r.answer == nil || r.answer.rest == nil {
+		f()
+		return
+	}
+	r.answer.rest = &closeHook{ReadCloser: r.answer.rest, after: f}
+}
+
+// closeHook calls after once the body is closed.
+type closeHook struct {
+	io.ReadCloser
+	once  sync.Once
+	after func()
+}
+
+// Close implements io.Closer.
+func (c *closeHook) Close() error {
+	err := c.ReadCloser.Close()
+	c.once.Do(c.after)
+	return err
+}
--- /dev/null
+++ b/node/servers.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	stdlog "log"
+)
+
+const (
+	// readHeaderTimeout bounds the time to send a request's headers.
+	readHeaderTimeout = 5 * time.Second
+	// callerIdleTimeout is how long a caller's unused connection is kept.
+	callerIdleTimeout = 3 * time.Minute
+	// lingerBeforeStop is how long a stopping node still takes requests on
+	// connections that are open, telling callers to close them.
+	lingerBeforeStop = 300 * time.Millisecond
+)
+
+// handlers are what the node's HTTP listeners serve.
+type handlers struct {
+	callers, hop, announce http.Handler
+}
+
+// servers are the node's HTTP servers.
+type servers struct {
+	logger   log.Logger
+	callers  *http.Server
+	hop      *http.Server
+	admin    *http.Server
+	announce *http.Server
+}
+
+func newServers(s Settings, logger log.Logger, h handlers) *servers {
+	quiet := stdlog.New(log.NewStdlibAdapter(level.Debug(logger)), "", 0)
+	server := func(address string, handler http.Handler, idle time.Duration) *http.Server {
+		return &http.Server{
+			Addr:              address,
+			Handler:           handler,
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idle,
+			MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
+			ErrorLog:          quiet,
+		}
+	}
+	out := &servers{
+		logger:   logger,
+		callers:  server(s.Listen.Callers, h.callers, callerIdleTimeout),
+		hop:      server(s.Listen.Hop, h.hop, hopServerIdleTimeout),
+		admin:    server(s.Listen.Admin, nil, callerIdleTimeout),
+		announce: server(s.Listen.Announce, h.announce, callerIdleTimeout),
+	}
+	out.hop.Protocols = protocols(s.HopProtocol)
+	return out
+}
+
+// setAdmin sets what the admin listener serves, before start.
+func (s *servers) setAdmin(h http.Handler) {
+	s.admin.Handler = h
+}
+
+func (s *servers) all() []*http.Server {
+	return []*http.Server{s.callers, s.hop, s.admin, s.announce}
+}
+
+// start opens every listener. The channel tells of a server that fails later.
+func (s *servers) start() (<-chan error, error) {
+	all := s.all()
+	listeners := make([]net.Listener, 0, len(all))
+	for _, server := range all {
+		listener, err := net.Listen("tcp", server.Addr)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", server.Addr)
+		}
+		listeners = append(listeners, listener)
+	}
+	failed := make(chan error, len(all))
+	for i, server := range all {
+		go func() {
+			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrapf(err, "serve on %s", server.Addr)
+			}
+		}()
+	}
+	return failed, nil
+}
+
+// stop ends the servers once their requests have ended: first the callers',
+// then the hops that other nodes and the callers' requests need.
+func (s *servers) stop(ctx context.Context) error {
+	s.callers.SetKeepAlivesEnabled(false)
+	pause(ctx, lingerBeforeStop)
+	err := s.callers.Shutdown(ctx)
+	s.hop.SetKeepAlivesEnabled(false)
+	pause(ctx, lingerBeforeStop)
+	var group errgroup.Group
+	for _, server := range []*http.Server{s.hop, s.admin, s.announce} {
+		group.Go(func() error { return server.Shutdown(ctx) })
+	}
+	if rest := group.Wait(); err == nil {
+		err = rest
+	}
+	return err
+}
