--- a/connection/load/sample.go
+++ b/connection/load/sample.go
@@ -74,3 +74,13 @@
 	s.State = State(state)
 	return s, nil
 }
+
+// ParseState returns the state of a name.
+func ParseState(name string) (State, bool) {
+	for s, known := range stateNames {
+		if known == name {
+			return State(s), true
+		}
+	}
+	return Absent, false
+}
