Let the demo's addresses and programs be chosen

Cause: trials of the scripts beside another run need addresses of their own. Ruled out: picking free ports, since targets and nodes find each other by fixed ones. Change: NET and BIN in scripts/lib.sh, with the demo's values as default; vtctl's token by its environment variable; logs without lines are not shown. Nothing measured. The demo reaches the operators' command, which the nodes do not serve yet.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -41,7 +41,7 @@
 ctl apply "examples/$org/"*.yaml >>"$OUT/ctl.log" 2>&1
 wait_ready
 
-bin/vtstandin load -ingress "$(addresses $NODE_CALLERS)" -journals "$(addresses $TARGET_PORT)" \
+"$BIN/vtstandin" load -ingress "$(addresses $NODE_CALLERS)" -journals "$(addresses $TARGET_PORT)" \
   -mix "$org" -rate "$RATE" -duration "${duration}s" -min-answered "$MIN_ANSWERED" \
   2>&1 >"$OUT/result" &
 load=$!
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -7,7 +7,9 @@
 
 readonly NODE_CALLERS=7000 NODE_HOP=7001 NODE_PEER=7002 NODE_ADMIN=7003 NODE_ANNOUNCE=7004
 readonly TARGET_PORT=8000
-readonly PLATFORM=${PLATFORM:-127.0.0.1:9000}
+# NET is the first half of all addresses, BIN where the programs are.
+readonly NET=${NET:-127.0} BIN=${BIN:-bin}
+readonly PLATFORM=${PLATFORM:-$NET.0.1:9000}
 # STOP_SECONDS bounds the planned stop of one process, in seconds.
 readonly STOP_SECONDS=40
 
@@ -41,7 +43,7 @@
       NODES+=("$name")
       SERVICE_OF[$name]=$service
       DC_OF[$name]=${DATACENTRES[dc]}
-      IP_OF[$name]=127.0.$((dc + 1)).${in_dc[dc]}
+      IP_OF[$name]=$NET.$((dc + 1)).${in_dc[dc]}
     done
   done
 }
@@ -160,14 +162,14 @@
 }
 
 start_platform() {
-  start platform bin/vtstandin platform -address "$PLATFORM" "$@"
+  start platform "$BIN/vtstandin" platform -address "$PLATFORM" "$@"
   wait_status "$PLATFORM" /stats 200 10
 }
 
 # start_node NODE starts one node; start_nodes starts all.
 start_node() {
   write_settings "$1"
-  start "node-$1" bin/vtnode run -settings "$OUT/$1.yaml"
+  start "node-$1" "$BIN/vtnode" run -settings "$OUT/$1.yaml"
 }
 
 start_nodes() {
@@ -179,7 +181,7 @@
 start_target() {
   local node=$1 ip=${IP_OF[$1]}
   shift
-  start "target-$node" bin/vtstandin target -address "$ip:$TARGET_PORT" \
+  start "target-$node" "$BIN/vtstandin" target -address "$ip:$TARGET_PORT" \
     -announce "http://$ip:$NODE_ANNOUNCE" -organisation "$ORG" -service "${SERVICE_OF[$node]}" \
     -slots "$SLOTS" -connections "$CONNECTIONS" -cold-limit 2 "$@"
 }
@@ -202,14 +204,15 @@
 
 # ctl ARGUMENTS... runs vtctl against the nodes.
 ctl() {
-  VTCTL_TOKEN=$ADMIN_TOKEN bin/vtctl -a "$(addresses $NODE_ADMIN)" "$@"
+  VT_TOKEN=$ADMIN_TOKEN "$BIN/vtctl" -a "$(addresses $NODE_ADMIN)" "$@"
 }
 
-# show_logs prints the last lines of every log, after a failure.
+# show_logs prints the last lines of every log that has any, after a failure.
 show_logs() {
   local log
   for log in "$OUT"/*.log; do
+    [[ -s $log ]] || continue
     echo "--- $(basename "$log")" >&2
-    tail -n 5 "$log" >&2
+    tail -n 3 "$log" >&2
   done
 }
