Add vtctl, the operators' command line

Cause: operators need one command that checks, applies and shows the configuration, takes data centres and targets out and back in, and works while some nodes are down.

--- /dev/null
+++ b/cmd/vtctl/change.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"verbenatrestle/node/admin"
+	"verbenatrestle/version"
+)
+
+// changeFlags are the flags of the commands that change something.
+type changeFlags struct {
+	operationID string
+	ifVersion   uint64
+}
+
+func (c *changeFlags) flags(f *flag.FlagSet) {
+	f.StringVar(&c.operationID, "operation-id", "", "`ID` of the change, to send it again; else a new one")
+	f.Uint64Var(&c.ifVersion, "if-version", 0, "only `version` that the change may be made to; 0 means any")
+}
+
+// call returns a call that makes a change.
+func (c *changeFlags) call(o *options, method, path string, body any) (call, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return call{}, errors.Wrap(err, "encode request")
+	}
+	id := c.operationID
+	if id == "" {
+		id = uuid.Must(uuid.NewV7()).String()
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	if o.actor != "" {
+		header.Set(admin.HeaderActor, o.actor)
+	}
+	if c.ifVersion != 0 {
+		header.Set("If-Match", strconv.Quote(strconv.FormatUint(c.ifVersion, 10)))
+	}
+	return call{method: method, path: path, body: text, header: header, operationID: id}, nil
+}
+
+// send makes a change and prints the answer.
+func (c *changeFlags) send(ctx context.Context, o *options, method, path string, body any) error {
+	call, err := c.call(o, method, path, body)
+	if err != nil {
+		return err
+	}
+	var answer admin.ChangeAnswer
+	if err := newClient(o).do(ctx, call, &answer); err != nil {
+		return err
+	}
+	return o.print(answer, func(out *bytes.Buffer) { printChange(out, answer) })
+}
+
+func printChange(out *bytes.Buffer, answer admin.ChangeAnswer) {
+	switch {
+	case answer.DryRun:
+		fmt.Fprintf(out, "valid on version %d: %s\n", answer.Version, answer.Summary)
+	case answer.Repeated:
+		fmt.Fprintf(out, "version %d accepted already: %s\n", answer.Version, answer.Summary)
+	default:
+		fmt.Fprintf(out, "version %d accepted: %s\n", answer.Version, answer.Summary)
+	}
+}
+
+// apply sets templates and organisations.
+type apply struct {
+	changeFlags
+	dryRun bool
+}
+
+func (*apply) describe() (name, synopsis, arguments string) {
+	return "apply", "set the templates and organisations in files", "FILE..."
+}
+
+func (a *apply) flags(f *flag.FlagSet) {
+	a.changeFlags.flags(f)
+	f.BoolVar(&a.dryRun, "dry-run", false, "check against the configuration in force and change nothing")
+}
+
+func (a *apply) run(ctx context.Context, o *options, args []string) error {
+	files, err := readFiles(args)
+	if err != nil {
+		return err
+	}
+	path := "/v1/apply"
+	if a.dryRun {
+		path += "?dry_run=1"
+	}
+	return a.send(ctx, o, http.MethodPost, path, files)
+}
+
+func readFiles(names []string) ([]version.File, error) {
+	if len(names) == 0 {
+		return nil, usageError("name at least one file")
+	}
+	var files []version.File
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "read file")
+		}
+		files = append(files, version.File{Name: name, Text: string(text)})
+	}
+	return files, nil
+}
+
+// switched is a kind of thing that can be taken out and back in.
+type switched struct {
+	command  string
+	what     string
+	argument string
+	path     string
+}
+
+var (
+	dataCentre = switched{command: "datacentre", what: "data centre", argument: "NAME", path: "/v1/datacentres/"}
+	target     = switched{command: "target", what: "target", argument: "NODE", path: "/v1/targets/"}
+)
+
+// switcher takes a data centre or a target out or back in.
+type switcher struct {
+	changeFlags
+	kind switched
+}
+
+func (s *switcher) describe() (name, synopsis, arguments string) {
+	return s.kind.command, "take a " + s.kind.what + " out of service or back in", "out|in " + s.kind.argument
+}
+
+func (s *switcher) run(ctx context.Context, o *options, args []string) error {
+	if len(args) != 2 || (args[0] != admin.StateOut && args[0] != admin.StateIn) || args[1] == "" {
+		return usageError("want %s out|in %s", s.kind.command, s.kind.argument)
+	}
+	path := s.kind.path + url.PathEscape(args[1])
+	return s.send(ctx, o, http.MethodPut, path, admin.SwitchRequest{State: args[0]})
+}
