--- a/version/snapshot.go
+++ b/version/snapshot.go
@@ -139,8 +139,10 @@
 
 // canonicalHost drops the port and the trailing dot, and lowers the case.
 func canonicalHost(host string) string {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
+	if strings.Contains(host, ":") {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
 	}
 	return strings.ToLower(strings.TrimSuffix(host, "."))
 }
