--- a/cmd/vtctl/client.go
+++ b/cmd/vtctl/client.go
@@ -20,6 +20,9 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 2 * time.Second
+	// maxUnclear bounds how many addresses may answer that they could not reach
+	// the platform. Each may take as long as a node waits for the platform.
+	maxUnclear = 3
 	// maxAnswerBytes bounds an answer, in bytes.
 	maxAnswerBytes = 64 << 20
 )
@@ -69,6 +72,7 @@
 	}
 	// unsure tells that an address may have carried out the change.
 	unsure := false
+	unclear := 0
 	var tried []string
 	for _, address := range c.addresses {
 		err := c.try(ctx, address, call, answer)
@@ -80,11 +84,14 @@
 		}
 		unsure = unsure || err.unsure
 		tried = append(tried, err.message)
-		if ctx.Err() != nil {
+		if err.problem != nil {
+			unclear++
+		}
+		if unclear == maxUnclear || ctx.Err() != nil {
 			break
 		}
 	}
-	message := "no address gave an answer:\n" + strings.Join(tried, "\n")
+	message := "no address gave a clear answer:\n" + strings.Join(tried, "\n")
 	if unsure && call.operationID != "" {
 		return unknownFailure(call, message)
 	}
