Serve the administration API on every node

Cause: operators had no way in. Change: the admin listener serves node/admin; /v1/status asks all nodes for their version over the hop listener, only when an operator asks; /v1/ready.

--- a/node/adminwire.go
+++ b/node/adminwire.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
+	"verbenatrestle/node/admin"
 	"verbenatrestle/request"
 )
 
@@ -11,6 +13,16 @@
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/ready", n.authorised(http.HandlerFunc(n.serveReady)))
+	mux.Handle("/", admin.New(admin.Options{
+		Node:      n.settings.Name,
+		Token:     n.settings.Secrets.AdminToken,
+		Committer: n.config.committer,
+		Store:     n.config.store,
+		State:     n.stateParts(),
+		Nodes:     n.versions.ask,
+		Metrics:   n.registry,
+		Now:       time.Now,
+	}))
 	return mux
 }
 
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -21,6 +21,7 @@
 	snapshot func() *version.Snapshot
 	guard    orderServer
 	owner    orderServer
+	versions http.Handler
 }
 
 // orderServer serves an order that came over a hop or from this node.
@@ -35,6 +36,10 @@
 		writeHopFailure(w, newFailure(http.StatusUnauthorized, request.NotRun, "hop", s.self, "wrong peer key", nil))
 		return
 	}
+	if r.Header.Get(request.HeaderHop) == hopVersion {
+		s.versions.ServeHTTP(w, r)
+		return
+	}
 	o, failure := s.readOrder(r)
 	if failure != nil {
 		writeHopFailure(w, failure)
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	target     *localTarget
 	ingress    *ingress
 	servers    *servers
+	versions   *versions
 
 	listed  atomic.Bool
 	leaving atomic.Bool
@@ -256,6 +257,7 @@
 		metrics:    counters,
 	}
 	n.routing = &routing{members: n.table, balance: n.balance, owners: n.owners, snapshot: n.config.snapshot}
+	n.versions = &versions{self: n.settings.Name, table: n.table, store: n.config.store, hops: hops}
 	n.servers = newServers(n.settings, n.logger, handlers{
 		callers: n.ingress,
 		hop: &hopServer{
@@ -264,6 +266,7 @@
 			snapshot: n.config.snapshot,
 			guard:    n.guard,
 			owner:    owned,
+			versions: n.versions,
 		},
 		announce: (&announceServer{local: n.target}).handler(),
 	})
