--- a/process/ownership/beats.go
+++ b/process/ownership/beats.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,8 +9,12 @@
 	"verbenatrestle/process/ownership/message"
 )
 
-// minBeatGap is the least time between two beats to one witness.
-const minBeatGap = 10 * time.Millisecond
+const (
+	// minBeatGap is the least time between two beats to one witness.
+	minBeatGap = 10 * time.Millisecond
+	// maxOutstanding is the most beats whose replies are waited for.
+	maxOutstanding = 256
+)
 
 // beats is the sending side of leases. It is guarded by Core.mu.
 type beats struct {
@@ -59,7 +64,7 @@
 	}
 	b.last = now.Mono
 	b.next = now.Mono + c.timing.BeatPeriod()
-	b.dropOld(now.Mono - c.timing.Term)
+	b.dropOldest()
 	c.takeReleases(now.Mono)
 	perWitness := make(map[string]*message.Beat)
 	items := make(map[string][]beatItem)
@@ -129,12 +134,15 @@
 	b.fresh = nil
 }
 
-// dropOld forgets beats sent before a time.
-func (b *beats) dropOld(before time.Duration) {
-	for sequence, beat := range b.outstanding {
-		if beat.at < before {
-			delete(b.outstanding, sequence)
-		}
+// dropOldest forgets the oldest beats when too many are outstanding. Their
+// replies, if they still come, count for little.
+func (b *beats) dropOldest() {
+	if len(b.outstanding) <= maxOutstanding {
+		return
+	}
+	sequences := sortedKeys(b.outstanding)
+	for _, sequence := range sequences[:len(sequences)-maxOutstanding/2] {
+		delete(b.outstanding, sequence)
 	}
 }
 
@@ -209,8 +217,8 @@
 
 // sortedKeys returns the keys of a map in order, so that output doesn't depend
 // on the order of iteration.
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
 	for key := range m {
 		keys = append(keys, key)
 	}
--- a/process/ownership/change.go
+++ b/process/ownership/change.go
@@ -52,6 +52,15 @@
 	Uncertain
 )
 
+// String returns the outcome's name for metrics.
+func (o Outcome) String() string {
+	names := [...]string{"none", "written", "conflict", "failed", "uncertain"}
+	if int(o) < len(names) {
+		return names[o]
+	}
+	return "invalid"
+}
+
 // Settlement is the end of a proposal.
 type Settlement struct {
 	// ID is the proposal's, Service its service.
@@ -183,6 +192,7 @@
 		s.gone = s.view.Load() != nil
 		return nil
 	}
+	s.gone = false
 	if version < s.version() {
 		return nil
 	}
--- /dev/null
+++ b/process/ownership/faults_test.go
@@ -0,0 +1,228 @@
+package ownership
+
+import (
+	"fmt"
+	"time"
+
+	"verbenatrestle/process/ownership/assignment"
+)
+
+// faultKind is what goes wrong, or what operators do.
+type faultKind int
+
+const (
+	faultPause        faultKind = iota // the process is stopped, and goes on later
+	faultKill                          // the process ends, and starts again with empty memory
+	faultBounce                        // three other processes are killed at once
+	faultCutOff                        // no link of the node works
+	faultOneWay                        // the node can't be heard
+	faultHalves                        // the nodes fall into two groups without links
+	faultPlatformDown                  // the platform fails all calls
+	faultNoPlatform                    // the node can't reach the platform
+	faultNoNews                        // nor does it get the object from peers
+	faultHeldDead                      // the others' membership holds the node for dead
+	faultLoss                          // messages get lost and doubled
+	faultDelay                         // messages are late
+	faultLateWrites                    // writes land late, and their end is not known
+	faultLostAnswers                   // answers to writes get lost
+	faultIneligible                    // the node should own nothing
+	faultOthersOut                     // three witnesses beside the node should go
+	faultClockStep                     // the wall clock steps within the skew
+	faultKinds
+)
+
+var faultNames = [...]string{"pause", "kill", "bounce", "cut-off", "one-way", "halves", "platform-down",
+	"no-platform", "no-news", "held-dead", "loss", "delay", "late-writes", "lost-answers", "ineligible",
+	"others-out", "clock-step"}
+
+// presentOwner stands for the node that the object names for partition 0 when
+// the fault begins.
+const presentOwner = -1
+
+// fault begins at a moment and ends after a time.
+type fault struct {
+	kind      faultKind
+	node      int
+	at, lasts time.Duration
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%s(n%d %v+%v)", faultNames[f.kind], f.node, f.at, f.lasts)
+}
+
+// begin lets a fault begin, and returns what ends it.
+func (w *world) begin(f fault) (end func()) {
+	n := w.nodes[w.resolve(f.node)]
+	switch f.kind {
+	case faultPause:
+		w.pause(n)
+		return func() { w.wake(n) }
+	case faultKill:
+		return w.killAll(n)
+	case faultBounce:
+		return w.killAll(w.others(n, 3)...)
+	case faultCutOff, faultOneWay, faultHalves:
+		return w.cutLinks(f.kind, n)
+	case faultPlatformDown:
+		return set(&w.cond.platformDown)
+	case faultNoPlatform:
+		return set(&n.noPlatform)
+	case faultNoNews:
+		return both(set(&n.noPlatform), set(&n.noNews))
+	case faultHeldDead:
+		return set(&n.heldDead)
+	case faultLateWrites:
+		return set(&w.cond.writesLate)
+	case faultLostAnswers:
+		return set(&w.cond.answersLost)
+	case faultLoss:
+		w.cond.lossPercent = 30
+		return func() { w.cond.lossPercent = 0 }
+	case faultDelay:
+		w.cond.delayMax = 4 * time.Second
+		return func() { w.cond.delayMax = 0 }
+	case faultIneligible:
+		return clear(&n.eligible)
+	case faultOthersOut:
+		return w.othersOut(n)
+	default:
+		n.offset = w.randomOffset()
+		return func() {}
+	}
+}
+
+func set(flag *bool) func() {
+	*flag = true
+	return func() { *flag = false }
+}
+
+func clear(flag *bool) func() {
+	*flag = false
+	return func() { *flag = true }
+}
+
+func both(first, second func()) func() {
+	return func() {
+		first()
+		second()
+	}
+}
+
+// resolve returns the index of the node that a fault is about.
+func (w *world) resolve(node int) int {
+	if node != presentOwner {
+		return node
+	}
+	if a := w.assignment(); a != nil {
+		for i, n := range w.nodes {
+			if n.name == a.Partitions[0].Owner {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
+// assignment returns the object's content, or nil before there is one.
+func (w *world) assignment() *assignment.Assignment {
+	if w.platform.version == 0 {
+		return nil
+	}
+	a, err := assignment.Decode(w.platform.value)
+	w.check(err == nil, "decode: %v", err)
+	return a
+}
+
+// others returns up to count random nodes beside n and the present owner.
+func (w *world) others(n *process, count int) []*process {
+	owner := w.nodes[w.resolve(presentOwner)]
+	var list []*process
+	for _, i := range w.rng.Perm(len(w.nodes)) {
+		m := w.nodes[i]
+		if m != n && m != owner && len(list) < count {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (w *world) killAll(nodes ...*process) (end func()) {
+	for _, n := range nodes {
+		w.kill(n)
+	}
+	return func() {
+		for _, n := range nodes {
+			if !n.alive {
+				w.start(n)
+			}
+		}
+	}
+}
+
+// othersOut takes three witnesses beside n out of service.
+func (w *world) othersOut(n *process) (end func()) {
+	end = func() {}
+	a := w.assignment()
+	if a == nil {
+		return end
+	}
+	out := 0
+	for _, name := range a.Witnesses {
+		if m := w.find(name); m != n && out < 3 {
+			out++
+			end = both(end, clear(&m.eligible))
+		}
+	}
+	return end
+}
+
+// cutLinks cuts the links of a fault. Of halves, the one with n holds n and as
+// many witnesses as make a majority, and can't reach the platform.
+func (w *world) cutLinks(kind faultKind, n *process) (end func()) {
+	near := map[*process]bool{n: true}
+	end = func() {}
+	if kind == faultHalves {
+		near = w.majorityWith(n)
+		for m := range near {
+			end = both(end, both(set(&m.noPlatform), set(&m.noNews)))
+		}
+	}
+	var links [][2]string
+	for _, a := range w.nodes {
+		for _, b := range w.nodes {
+			if near[a] && !near[b] || kind != faultOneWay && near[b] && !near[a] {
+				links = append(links, [2]string{a.name, b.name})
+			}
+		}
+	}
+	for _, link := range links {
+		w.cut[link] = true
+	}
+	return both(end, func() {
+		for _, link := range links {
+			delete(w.cut, link)
+		}
+	})
+}
+
+// majorityWith returns n and witnesses that make up a majority.
+func (w *world) majorityWith(n *process) map[*process]bool {
+	near := map[*process]bool{n: true}
+	a := w.assignment()
+	if a == nil {
+		return near
+	}
+	count := 0
+	for _, name := range a.Witnesses {
+		if name == n.name {
+			count++
+		}
+	}
+	for _, name := range a.Witnesses {
+		if m := w.find(name); !near[m] && count < len(a.Witnesses)/2+1 {
+			near[m] = true
+			count++
+		}
+	}
+	return near
+}
--- a/process/ownership/service.go
+++ b/process/ownership/service.go
@@ -82,7 +82,6 @@
 	if version <= s.version() {
 		return
 	}
-	s.gone = false
 	s.view.Store(&view{Assignment: a, version: version})
 	if s.partitions.Load() == nil {
 		c.addPartitions(s, len(a.Partitions))
--- /dev/null
+++ b/process/ownership/state.go
@@ -0,0 +1,120 @@
+package ownership
+
+import (
+	"time"
+)
+
+// State is a dump of a node's part in ownership.
+type State struct {
+	// Node and Incarnation name this process.
+	Node        string `json:"node"`
+	Incarnation uint64 `json:"incarnation"`
+	// Leaving is true once the node hands all its partitions over.
+	Leaving bool `json:"leaving"`
+	// WitnessedServices is the number of services that this node witnesses.
+	WitnessedServices int `json:"witnessed_services"`
+	// Services are the services whose ownership objects are known.
+	Services []ServiceState `json:"services"`
+}
+
+// ServiceState is a dump of what a node knows of a service.
+type ServiceState struct {
+	Service string `json:"service"`
+	// Version is the version of the service's ownership object.
+	Version           uint64   `json:"version"`
+	Epoch             uint64   `json:"epoch"`
+	Witnesses         []string `json:"witnesses"`
+	PreviousWitnesses []string `json:"previous_witnesses,omitempty"`
+	// Writing is true while a conditional write is under way.
+	Writing    bool             `json:"writing"`
+	Partitions []PartitionState `json:"partitions"`
+}
+
+// PartitionState is a dump of a partition.
+type PartitionState struct {
+	Partition int    `json:"partition"`
+	Owner     string `json:"owner"`
+	Tenure    uint64 `json:"tenure"`
+	// Mine is set for partitions that this process owns or has claims of.
+	Mine *ClaimState `json:"mine,omitempty"`
+}
+
+// ClaimState is a dump of a partition at its owner.
+type ClaimState struct {
+	// Owns is true if this process has the tenure.
+	Owns bool `json:"owns"`
+	// Begun is true once the tenure had a lease.
+	Begun bool `json:"begun"`
+	// LeaseLeft is the time left of the lease, in milliseconds.
+	LeaseLeft int64 `json:"lease_left_ms"`
+	// HandingTo is the node that the partition is being handed over to.
+	HandingTo string `json:"handing_to,omitempty"`
+	// FenceDated and FenceUndated are the fence on keys of former owners.
+	FenceDated   time.Time `json:"fence_dated"`
+	FenceUndated time.Time `json:"fence_undated"`
+	// Claims, Running and AnswerBytes are the size of the claim table.
+	Claims      int `json:"claims"`
+	Running     int `json:"running"`
+	AnswerBytes int `json:"answer_bytes"`
+}
+
+// State returns a dump of the core.
+func (c *Core) State(now Clock) *State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := &State{
+		Node:              c.node,
+		Incarnation:       c.incarnation,
+		Leaving:           c.leaving,
+		WitnessedServices: c.witness.Services(),
+	}
+	services := *c.services.Load()
+	for _, id := range c.order {
+		if v := services[id].view.Load(); v != nil {
+			state.Services = append(state.Services, services[id].state(v, now))
+		}
+	}
+	return state
+}
+
+func (s *service) state(v *view, now Clock) ServiceState {
+	state := ServiceState{
+		Service:           s.id,
+		Version:           v.version,
+		Epoch:             v.Epoch,
+		Witnesses:         v.Witnesses,
+		PreviousWitnesses: v.PreviousWitnesses,
+		Writing:           s.change != nil,
+	}
+	for i, p := range s.list() {
+		state.Partitions = append(state.Partitions, PartitionState{
+			Partition: i,
+			Owner:     v.Partitions[i].Owner,
+			Tenure:    v.Partitions[i].Tenure,
+			Mine:      p.state(now),
+		})
+	}
+	return state
+}
+
+func (p *partition) state(now Clock) *ClaimState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		return nil
+	}
+	state := &ClaimState{
+		Owns:         p.tenure != 0,
+		Begun:        p.begun,
+		HandingTo:    p.successor,
+		FenceDated:   p.fence.Dated,
+		FenceUndated: p.fence.Undated,
+		Claims:       p.table.Len(),
+		Running:      p.table.Running(),
+		AnswerBytes:  p.table.AnswerBytes(),
+	}
+	if until, ok := p.lease.Until(); ok && p.tenure != 0 {
+		state.LeaseLeft = max(until-now.Mono, 0).Milliseconds()
+	}
+	return state
+}
--- a/process/ownership/tick.go
+++ b/process/ownership/tick.go
@@ -180,14 +180,16 @@
 	return out
 }
 
-// Idle reports whether this node owns nothing and owes nothing to a successor.
+// Idle reports whether this node owns nothing that another node could take, no
+// operation runs, and it owes nothing to a successor.
 func (c *Core) Idle() bool {
-	for _, s := range *c.services.Load() {
-		for _, p := range s.list() {
-			p.mu.Lock()
-			busy := p.tenure != 0 || p.tail != nil && p.owes()
-			p.mu.Unlock()
-			if busy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	services := *c.services.Load()
+	for _, id := range c.order {
+		heirs := len(c.candidates(id)) > 0
+		for _, p := range services[id].list() {
+			if p.busy(heirs) {
 				return false
 			}
 		}
@@ -195,6 +197,16 @@
 	return true
 }
 
+// busy reports whether a leaving node must wait for the partition.
+func (p *partition) busy(heirs bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.tenure != 0 && (heirs || p.table.Running() > 0) {
+		return true
+	}
+	return p.tail != nil && p.owes()
+}
+
 // owes reports whether the successor still waits for ends of runs.
 func (p *partition) owes() bool {
 	return len(p.tail.results) > 0 || p.table.Running() > 0
