--- a/cmd/vtctl/change.go
+++ b/cmd/vtctl/change.go
@@ -67,7 +67,7 @@
 	case answer.DryRun:
 		fmt.Fprintf(out, "valid on version %d: %s\n", answer.Version, answer.Summary)
 	case answer.Repeated:
-		fmt.Fprintf(out, "version %d accepted already: %s\n", answer.Version, answer.Summary)
+		fmt.Fprintf(out, "version %d accepted, found in the history: %s\n", answer.Version, answer.Summary)
 	default:
 		fmt.Fprintf(out, "version %d accepted: %s\n", answer.Version, answer.Summary)
 	}
--- a/cmd/vtctl/run_test.go
+++ b/cmd/vtctl/run_test.go
@@ -155,7 +155,7 @@
 		{"apply -dry-run " + kodumala, exitOK, "valid on version 0: template summit-registers: added"},
 		{"apply " + kodumala + " " + bad, exitRefused, bad + ":4:10: $.values.slot"},
 		{"apply -operation-id one " + kodumala, exitOK, "version 1 accepted: template summit-registers: added"},
-		{"apply -operation-id one " + kodumala, exitOK, "version 1 accepted already"},
+		{"apply -operation-id one " + kodumala, exitOK, "version 1 accepted, found in the history"},
 		{"-o json apply " + trials, exitOK, `"version": 2`},
 		{"apply -if-version 1 " + trials, exitConflict, "version 1 was the base, 2 is in force; version 2 by asha at"},
 		{"-o json apply -if-version 1 " + trials, exitConflict, `"since":[{"version":2`},
@@ -197,7 +197,7 @@
 		part            string
 	}{
 		{dead + "," + f.address, "datacentre out kochi-a", exitOK, "version 2 accepted: data centre kochi-a: out"},
-		{cut + ", " + f.address, "datacentre in kochi-a", exitOK, "version 3 accepted already: data centre kochi-a: in"},
+		{cut + ", " + f.address, "datacentre in kochi-a", exitOK, "version 3 accepted, found in the history: data centre kochi-a: in"},
 		{cut, "-o json target out n", exitFailed, "the change may have been made"},
 		{cut + "," + f.address, "target -if-version 1 in n", exitFailed, "the last one refused"},
 		{cut + "," + f.address, "history", exitOK, "target n: out"},
--- a/version/snapshot.go
+++ b/version/snapshot.go
@@ -69,6 +69,13 @@
 	return set
 }
 
+// namesOf returns the names of a set, sorted and never nil.
+func namesOf(set map[string]bool) []string {
+	names := slices.AppendSeq([]string{}, maps.Keys(set))
+	slices.Sort(names)
+	return names
+}
+
 // Version returns the snapshot's number. A higher number is a later one.
 func (s *Snapshot) Version() uint64 { return s.number }
 
@@ -100,10 +107,10 @@
 func (s *Snapshot) TargetOut(node string) bool { return s.targets[node] }
 
 // DataCentresOut returns the data centres that are out of service, sorted.
-func (s *Snapshot) DataCentresOut() []string { return slices.Sorted(maps.Keys(s.dataCentres)) }
+func (s *Snapshot) DataCentresOut() []string { return namesOf(s.dataCentres) }
 
 // TargetsOut returns the nodes whose targets are out of service, sorted.
-func (s *Snapshot) TargetsOut() []string { return slices.Sorted(maps.Keys(s.targets)) }
+func (s *Snapshot) TargetsOut() []string { return namesOf(s.targets) }
 
 // Route finds the service and the route for a request. The host may carry a
 // port; urlPath is the decoded path. The error is an *UnknownHostError,
