Tell in the load's report why sends got no answer

Cause: the demo told how many requests were not run, and not why. Ruled out: the log of each node, which does not tell what callers saw. Change: sends without an answer are counted by status, step and title, at most 64 kinds apart, in the JSON report and on lines before the last.

--- a/cmd/vtstandin/load.go
+++ b/cmd/vtstandin/load.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/go-kit/log/level"
@@ -60,6 +62,9 @@
 		level.Error(logger).Log("msg", "load", "err", err)
 		return subcommands.ExitUsageError
 	}
+	for _, reason := range slices.Sorted(maps.Keys(report.Reasons)) {
+		fmt.Printf("sends without an answer: %d %s\n", report.Reasons[reason], reason)
+	}
 	if report.Lied > 0 {
 		fmt.Printf("lied=%d keys=%s\n", report.Lied, strings.Join(report.LiedKeys, ","))
 	}
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"time"
 
@@ -61,6 +62,8 @@
 	Resends    int `json:"resends"`
 	Duplicates int `json:"duplicates"`
 	Broken     int `json:"broken"`
+	// Reasons counts the sends without an answer of a target, by reason.
+	Reasons map[string]int `json:"reasons,omitempty"`
 	// Refused is the latency of refusals, from send to answer.
 	Refused Latency `json:"refused"`
 	// Goodput is the answered operations per second.
@@ -80,6 +83,7 @@
 		Resends:    t.resends,
 		Duplicates: t.copies,
 		Broken:     t.broken,
+		Reasons:    maps.Clone(t.reasons),
 		Refused:    newLatency(t.refusal),
 		Goodput:    float64(t.all.results[answered]) / took.Seconds(),
 		Classes:    make(map[string]Count),
--- a/internal/standin/load/sender.go
+++ b/internal/standin/load/sender.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -86,13 +88,14 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		s.tally.broke()
+		s.tally.broke("answer broke off")
 		return unknown, jitter(resendDelay)
 	}
 	if response.StatusCode == http.StatusOK {
 		return op.check(body), 0
 	}
 	sent := outcome(response)
+	s.tally.failed(reason(response.StatusCode, body))
 	if sent == notRun {
 		s.tally.refused(time.Since(started))
 	}
@@ -120,14 +123,28 @@
 
 // failed tells the result of a send without an answer.
 func (s *sender) failed(err error) (result, time.Duration) {
-	s.tally.broke()
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		s.tally.broke("no connection")
 		return notRun, 0
+	case errors.Is(err, context.DeadlineExceeded):
+		s.tally.broke("timeout")
+	default:
+		s.tally.broke("connection broke")
 	}
 	return unknown, jitter(resendDelay)
 }
 
+// reason says in a few words why a send got no answer of a target.
+func reason(status int, body []byte) string {
+	var failure request.Failure
+	if json.Unmarshal(body, &failure) != nil || failure.Step == "" {
+		return fmt.Sprintf("status %d", status)
+	}
+	return fmt.Sprintf("status %d at %s: %s", status, failure.Step, failure.Title)
+}
+
 // outcome reads what a failure tells. One that tells nothing is unknown.
 func outcome(response *http.Response) result {
 	switch request.Outcome(response.Header.Get(request.HeaderOutcome)) {
--- a/internal/standin/load/tally.go
+++ b/internal/standin/load/tally.go
@@ -12,6 +12,8 @@
 	maxLatency = 2 * time.Minute
 	// significantFigures is the precision of the histograms.
 	significantFigures = 3
+	// maxReasons bounds the reasons that are told apart.
+	maxReasons = 64
 	// microsPerMs converts the histograms' unit.
 	microsPerMs = 1000.0
 )
@@ -56,6 +58,8 @@
 	resends int
 	broken  int
 	copies  int
+	// reasons counts the sends that got no answer of a target, by reason.
+	reasons map[string]int
 	// keys holds the result of each keyed operation.
 	keys map[string]result
 }
@@ -66,6 +70,7 @@
 		all:     newGroup(),
 		classes: make(map[string]*group),
 		refusal: newHistogram(),
+		reasons: make(map[string]int),
 		keys:    make(map[string]result),
 	}
 }
@@ -112,10 +117,24 @@
 	t.resends++
 }
 
-func (t *tally) broke() {
+func (t *tally) broke(reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.broken++
+	t.reasonLocked(reason)
+}
+
+func (t *tally) failed(reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reasonLocked(reason)
+}
+
+func (t *tally) reasonLocked(reason string) {
+	if _, ok := t.reasons[reason]; !ok && len(t.reasons) >= maxReasons {
+		reason = "other"
+	}
+	t.reasons[reason]++
 }
 
 func (t *tally) refused(latency time.Duration) {
