Add membership by ring fingers, heartbeats and digests

Cause: every node needs to know the others and the state of their targets, with control bytes that do not grow with the fleet.

Ruled out: taking a death on another's word (after a cut each side would kill the other's members in its own tables first); tombstones passed on to nodes that lack them (they would never be forgotten); a refutation counter shared with the content's sequence (a short message could then hide missed content).

Change: process/membership with Table, Runner, messages of kinds 10 to 13 and a fleet of tables in virtual time for tests.

Seen to fail with the mechanism taken out, property test over random histories: refutation, incarnation check, sequence check, finality of leaving, digest comparison, reconnecting to the dead, contradiction by a tombstone, raised incarnation after a clock that went back, expiry of suspects.

Conclusion: tables converge after any of these histories; the cost at the target size is to be measured next.

--- /dev/null
+++ b/process/membership/fleet_test.go
@@ -0,0 +1,335 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"verbenatrestle/connection/load"
+	"verbenatrestle/connection/wire"
+)
+
+// fleet runs many tables in virtual time over a fake network.
+type fleet struct {
+	now     time.Time
+	rng     *rand.Rand
+	queue   eventQueue
+	order   uint64
+	nodes   []*fleetNode
+	byName  map[string]*fleetNode
+	codec   *wire.Codec // nil: bytes aren't counted
+	cut     func(a, b *fleetNode) bool
+	lose    float64       // share of messages lost
+	double  float64       // share of messages delivered twice
+	spread  time.Duration // latency is latency..latency+spread
+	down    map[[2]string]bool
+	options Options
+	// reseed is how often a node reads the members from the platform again; 0
+	// is never.
+	reseed time.Duration
+}
+
+type fleetNode struct {
+	index  int
+	member Member
+	table  *Table
+	life   int // counts the processes under this name
+	alive  bool
+	left   bool
+	frozen bool
+	held   []func()
+	// messages and bytes count both directions.
+	messages, bytes int
+	rumours         int
+}
+
+const (
+	fleetTick     = 250 * time.Millisecond
+	fleetLatency  = 2 * time.Millisecond
+	linkTimeout   = 3 * time.Second
+	frameOverhead = 8 // WebSocket header and mask
+)
+
+type fleetEvent struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type eventQueue []fleetEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(fleetEvent)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// newFleet returns n nodes in four data centres of two regions, not started.
+func newFleet(n int, seed uint64, options Options) *fleet {
+	f := &fleet{
+		now:     time.Unix(1_800_000_000, 0),
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		byName:  map[string]*fleetNode{},
+		cut:     func(a, b *fleetNode) bool { return false },
+		spread:  time.Millisecond,
+		down:    map[[2]string]bool{},
+		options: options,
+	}
+	for i := range n {
+		address := fmt.Sprintf("10.%d.%d.%d", 1+i%4, i/250, i%250)
+		node := &fleetNode{index: i, member: Member{
+			Node:         fmt.Sprintf("n%04d", i),
+			DataCentre:   fmt.Sprintf("kochi-%c", 'a'+i%4),
+			Region:       []string{"kerala-south", "kerala-north"}[i%4/2],
+			PeerAddress:  address + ":7002",
+			HopAddress:   address + ":7001",
+			AdminAddress: address + ":7003",
+			Service:      fmt.Sprintf("organisation-%d/service-%d", i%15, i%120),
+			Target:       load.Warm,
+			Instance:     fmt.Sprintf("%016x", i),
+			Slots:        20,
+			ColdLimit:    2,
+		}}
+		f.nodes = append(f.nodes, node)
+		f.byName[node.member.Node] = node
+	}
+	return f
+}
+
+func (f *fleet) after(delay time.Duration, run func()) {
+	f.order++
+	heap.Push(&f.queue, fleetEvent{at: f.now.Add(delay), order: f.order, run: run})
+}
+
+// runFor lets virtual time pass.
+func (f *fleet) runFor(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(fleetEvent)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// start starts a process of a node that knows what the platform knows.
+func (f *fleet) start(n *fleetNode) {
+	n.life++
+	n.alive, n.left, n.frozen, n.held = true, false, false, nil
+	n.member.Incarnation = uint64(f.now.UnixNano()) + uint64(n.life)
+	n.table = NewTable(n.member, f.options, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
+	n.table.SubscribeRumours(TopicConfiguration, func(time.Time, Rumour) { n.rumours++ })
+	var seeds []Member
+	for _, other := range f.nodes {
+		if other != n && other.life > 0 {
+			seeds = append(seeds, other.member)
+		}
+	}
+	f.send(n, n.table.Seed(f.now, seeds))
+	f.tick(n, n.life, time.Duration(f.rng.Int64N(int64(fleetTick))))
+	if f.reseed > 0 {
+		f.seedAgain(n, n.life)
+	}
+}
+
+// seedAgain has a process read the platform now and then, which by then lists
+// only processes that run.
+func (f *fleet) seedAgain(n *fleetNode, life int) {
+	f.after(f.reseed, func() {
+		if !n.alive || n.life != life {
+			return
+		}
+		var seeds []Member
+		for _, other := range f.nodes {
+			if other != n && other.alive && !other.left {
+				seeds = append(seeds, other.member)
+			}
+		}
+		if !n.frozen {
+			f.send(n, n.table.Seed(f.now, seeds))
+		}
+		f.seedAgain(n, life)
+	})
+}
+
+func (f *fleet) tick(n *fleetNode, life int, delay time.Duration) {
+	f.after(delay, func() {
+		if !n.alive || n.life != life {
+			return
+		}
+		if !n.frozen {
+			f.send(n, n.table.Tick(f.now))
+		}
+		f.tick(n, life, fleetTick)
+	})
+}
+
+// kill ends a process; its peers' links break.
+func (f *fleet) kill(n *fleetNode) {
+	n.alive = false
+	for _, other := range f.nodes {
+		if other.alive && other != n && slices.Contains(other.table.Neighbours(), n.member.Node) {
+			f.linkDown(other, n.member.Node, fleetLatency)
+		}
+	}
+}
+
+// leave ends a process in order.
+func (f *fleet) leave(n *fleetNode) {
+	f.send(n, n.table.Leave(f.now))
+	n.left = true
+	life := n.life
+	f.after(500*time.Millisecond, func() {
+		if n.life == life && n.alive {
+			f.kill(n)
+		}
+	})
+}
+
+func (f *fleet) freeze(n *fleetNode) { n.frozen = true }
+
+// thaw lets a frozen process go on. Its clock ticks before it has read what
+// waits for it.
+func (f *fleet) thaw(n *fleetNode) {
+	n.frozen = false
+	held := n.held
+	n.held = nil
+	f.send(n, n.table.Tick(f.now))
+	for _, run := range held {
+		run()
+	}
+}
+
+func (f *fleet) linkDown(n *fleetNode, peer string, delay time.Duration) {
+	key := [2]string{n.member.Node, peer}
+	if f.down[key] {
+		return
+	}
+	f.down[key] = true
+	life := n.life
+	f.after(delay, func() {
+		delete(f.down, key)
+		if n.alive && n.life == life && !n.frozen {
+			f.send(n, n.table.LinkDown(f.now, peer))
+		}
+	})
+}
+
+// send puts a node's messages on the network.
+func (f *fleet) send(from *fleetNode, envelopes []wire.Envelope) {
+	for _, e := range envelopes {
+		size := 0
+		if f.codec != nil {
+			data, err := f.codec.Encode(e.Message)
+			if err != nil {
+				panic(err)
+			}
+			size = len(data) + frameOverhead
+		}
+		from.messages++
+		from.bytes += size
+		f.deliver(from, f.byName[e.To], e.Message, size)
+	}
+}
+
+func (f *fleet) deliver(from, to *fleetNode, message any, size int) {
+	switch {
+	case f.cut(from, to) || f.cut(to, from):
+		f.linkDown(from, to.member.Node, linkTimeout)
+		return
+	case !to.alive:
+		f.linkDown(from, to.member.Node, fleetLatency)
+		return
+	case f.rng.Float64() < f.lose:
+		return
+	}
+	copies := 1
+	if f.rng.Float64() < f.double {
+		copies = 2
+	}
+	life := to.life
+	for range copies {
+		f.after(fleetLatency+time.Duration(f.rng.Int64N(int64(f.spread))), func() {
+			f.receive(from, to, life, message, size)
+		})
+	}
+}
+
+func (f *fleet) receive(from, to *fleetNode, life int, message any, size int) {
+	if !to.alive || to.life != life {
+		return
+	}
+	if to.frozen {
+		to.held = append(to.held, func() { f.receive(from, to, life, message, size) })
+		return
+	}
+	to.messages++
+	to.bytes += size
+	f.send(to, to.table.Handle(f.now, from.member.Node, message))
+}
+
+// startAll starts every node and lets the tables settle.
+func (f *fleet) startAll(settle time.Duration) {
+	for _, n := range f.nodes {
+		n.life = 1 // the platform has an object of each
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.runFor(settle)
+}
+
+// disagreement returns a difference between a live table and the truth, or "".
+func (f *fleet) disagreement() string {
+	for _, n := range f.nodes {
+		if !n.alive || n.left {
+			continue
+		}
+		if d := f.disagrees(n); d != "" {
+			return n.member.Node + " believes " + d
+		}
+	}
+	return ""
+}
+
+func (f *fleet) disagrees(n *fleetNode) string {
+	for _, other := range f.nodes {
+		m, known := n.table.Lookup(other.member.Node)
+		if !other.alive || other.left {
+			if known && m.Status.Present() {
+				return fmt.Sprintf("%s is %s, it is gone", other.member.Node, m.Status)
+			}
+			continue
+		}
+		truth := other.table.Self()
+		truth.ConfigVersion, m.ConfigVersion = 0, 0
+		if m != truth {
+			return fmt.Sprintf("%+v, it is %+v", m, truth)
+		}
+	}
+	return ""
+}
+
+// settle lets time pass until the tables agree with the truth, at most limit.
+func (f *fleet) settle(limit time.Duration) (time.Duration, string) {
+	begin := f.now
+	for f.now.Sub(begin) < limit {
+		if f.disagreement() == "" {
+			return f.now.Sub(begin), ""
+		}
+		f.runFor(500 * time.Millisecond)
+	}
+	return f.now.Sub(begin), f.disagreement()
+}
--- a/process/membership/member.go
+++ b/process/membership/member.go
@@ -1,6 +1,10 @@
 package membership
 
-import "verbenatrestle/connection/load"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"verbenatrestle/connection/load"
+)
 
 // Status says what this node believes of a member.
 type Status uint8
@@ -57,6 +61,33 @@
 	ColdLimit int
 	// ConfigVersion is the configuration version in force on the node.
 	ConfigVersion uint64
+	// Refutations counts how often the member, in this incarnation, has
+	// contradicted a suspicion against it.
+	Refutations uint64
 	// Status is what this node believes of the member.
 	Status Status
 }
+
+// staleContent reports whether the content of m (all but Refutations, Status
+// and ConfigVersion) is older than that of other.
+func (m *Member) staleContent(other *Member) bool {
+	if m.Incarnation != other.Incarnation {
+		return m.Incarnation < other.Incarnation
+	}
+	return m.Sequence < other.Sequence
+}
+
+// liveness returns what m says of the member's life.
+func (m *Member) liveness() Liveness {
+	status := m.Status
+	if status == Dead {
+		// Each node lets a suspect die by its own clock.
+		status = Suspect
+	}
+	return Liveness{ID: ringID(m.Node), Incarnation: m.Incarnation, Refutations: m.Refutations, Status: status}
+}
+
+// ringID is a member's place on the ring and its short name in messages.
+func ringID(node string) uint64 {
+	return xxhash.Sum64String(node)
+}
--- /dev/null
+++ b/process/membership/messages.go
@@ -0,0 +1,112 @@
+package membership
+
+import "verbenatrestle/connection/wire"
+
+// Kinds of this package's messages.
+const (
+	kindHeartbeat   wire.Kind = 10
+	kindGossip      wire.Kind = 11
+	kindSyncRequest wire.Kind = 12
+	kindSyncEntries wire.Kind = 13
+)
+
+// Register registers the messages of this package with the codec.
+func Register(codec *wire.Codec) {
+	codec.Register(kindHeartbeat, (*Heartbeat)(nil))
+	codec.Register(kindGossip, (*Gossip)(nil))
+	codec.Register(kindSyncRequest, (*SyncRequest)(nil))
+	codec.Register(kindSyncEntries, (*SyncEntries)(nil))
+}
+
+// Handles reports whether the message is one of this package.
+func Handles(message any) bool {
+	switch message.(type) {
+	case *Heartbeat, *Gossip, *SyncRequest, *SyncEntries:
+		return true
+	}
+	return false
+}
+
+// Heartbeat asks a neighbour for a sign of life, or gives one.
+type Heartbeat struct {
+	// Ack is set on the answer.
+	Ack bool
+	// Incarnation, Sequence, Refutations and ConfigVersion are the sender's.
+	Incarnation   uint64
+	Sequence      uint64
+	Refutations   uint64
+	ConfigVersion uint64
+	// Digest stands for the sender's present members.
+	Digest uint64
+	// News is what travels along.
+	News News
+}
+
+// Gossip passes news on at once.
+type Gossip struct {
+	News News
+}
+
+// News is what one message tells of members and rumours. Members are named by
+// their place on the ring where the receiver knows them already.
+type News struct {
+	// Records are members with all their fields.
+	Records []Member
+	// Livenesses are members of which only the life is told.
+	Livenesses []Liveness
+	// Versions are configuration versions in force on members.
+	Versions []NodeVersion
+	// Rumours are messages of other packages.
+	Rumours []FloodedRumour
+	// Want names members whose records the sender asks for.
+	Want []uint64
+}
+
+// empty reports whether there is nothing to tell.
+func (n *News) empty() bool {
+	return len(n.Records)+len(n.Livenesses)+len(n.Versions)+len(n.Rumours)+len(n.Want) == 0
+}
+
+// Liveness is what the sender believes of a member's life.
+type Liveness struct {
+	ID          uint64
+	Incarnation uint64
+	Refutations uint64
+	Status      Status
+}
+
+// NodeVersion is the configuration version in force on a member.
+type NodeVersion struct {
+	ID      uint64
+	Version uint64
+}
+
+// FloodedRumour is a rumour on its way.
+type FloodedRumour struct {
+	Rumour Rumour
+	// Hops is how many nodes have passed it on.
+	Hops uint8
+}
+
+// SyncRequest asks a peer to compare tables.
+type SyncRequest struct {
+	// Buckets are digests of the sender's present members, by bucket.
+	Buckets []uint64
+}
+
+// SyncEntries lists the sender's members in the buckets that differ.
+type SyncEntries struct {
+	// Buckets are the buckets that are listed whole.
+	Buckets []uint8
+	// Entries are the members in them.
+	Entries []SyncEntry
+}
+
+// SyncEntry says how new the sender's entry of a member is.
+type SyncEntry struct {
+	ID          uint64
+	Incarnation uint64
+	Sequence    uint64
+	Refutations uint64
+	Status      Status
+}
--- /dev/null
+++ b/process/membership/options.go
@@ -0,0 +1,88 @@
+package membership
+
+import "time"
+
+// Options are the settings of a Table; zero fields take their defaults.
+type Options struct {
+	// Period is the time between two rounds of heartbeats.
+	Period time.Duration
+	// Probes is how many neighbours get a heartbeat in a round.
+	Probes int
+	// SuspectAfter is how long a neighbour may leave heartbeats unanswered
+	// before it is suspected.
+	SuspectAfter time.Duration
+	// ConfirmAfter is how long a suspect has to refute before it is dead.
+	ConfirmAfter time.Duration
+	// ForgetAfter is how long dead and left members are remembered.
+	ForgetAfter time.Duration
+	// ReconnectEvery is the least time between two attempts of this node to
+	// reach members that are dead to it, after a cut.
+	ReconnectEvery time.Duration
+	// SyncAfter is how long two tables may differ before they are compared.
+	SyncAfter time.Duration
+	// SyncEvery is the least time between two comparisons this node starts.
+	SyncEvery time.Duration
+	// MaxMembers is how many members, dead and left ones included, are kept.
+	MaxMembers int
+	// PiggybackBytes bounds the news on a heartbeat, in bytes, roughly.
+	PiggybackBytes int
+	// VersionsPerMessage bounds the configuration versions on a heartbeat.
+	VersionsPerMessage int
+	// UrgentPerSecond and UrgentBurst bound how many pieces of news are passed
+	// on at once; what exceeds them travels with the heartbeats.
+	UrgentPerSecond float64
+	UrgentBurst     float64
+	// MaxRumours is how many rumours are remembered, to pass each on once.
+	MaxRumours int
+	// MaxRumourBytes is the largest payload of a rumour.
+	MaxRumourBytes int
+}
+
+// DefaultOptions returns the settings that zero fields take.
+func DefaultOptions() Options {
+	return Options{
+		Period:             time.Second,
+		Probes:             4,
+		SuspectAfter:       3 * time.Second,
+		ConfirmAfter:       4 * time.Second,
+		ForgetAfter:        2 * time.Hour,
+		ReconnectEvery:     10 * time.Second,
+		SyncAfter:          2 * time.Second,
+		SyncEvery:          time.Second,
+		MaxMembers:         8192,
+		PiggybackBytes:     1000,
+		VersionsPerMessage: 16,
+		UrgentPerSecond:    5,
+		UrgentBurst:        40,
+		MaxRumours:         4096,
+		MaxRumourBytes:     1024,
+	}
+}
+
+// withDefaults returns the options with zero fields set to their defaults.
+func (o Options) withDefaults() Options {
+	d := DefaultOptions()
+	setDefault(&o.Period, d.Period)
+	setDefault(&o.Probes, d.Probes)
+	setDefault(&o.SuspectAfter, d.SuspectAfter)
+	setDefault(&o.ConfirmAfter, d.ConfirmAfter)
+	setDefault(&o.ForgetAfter, d.ForgetAfter)
+	setDefault(&o.ReconnectEvery, d.ReconnectEvery)
+	setDefault(&o.SyncAfter, d.SyncAfter)
+	setDefault(&o.SyncEvery, d.SyncEvery)
+	setDefault(&o.MaxMembers, d.MaxMembers)
+	setDefault(&o.PiggybackBytes, d.PiggybackBytes)
+	setDefault(&o.VersionsPerMessage, d.VersionsPerMessage)
+	setDefault(&o.UrgentPerSecond, d.UrgentPerSecond)
+	setDefault(&o.UrgentBurst, d.UrgentBurst)
+	setDefault(&o.MaxRumours, d.MaxRumours)
+	setDefault(&o.MaxRumourBytes, d.MaxRumourBytes)
+	return o
+}
+
+// setDefault sets *value to fallback when it is zero.
+func setDefault[T int | float64 | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
