--- a/cmd/vtstandin/load.go
+++ b/cmd/vtstandin/load.go
@@ -35,7 +35,8 @@
 func (*loadCommand) Usage() string {
 	return "load -ingress IP:PORT,... -mix NAME -rate N -duration D -journals IP:PORT,... [flags]\n" +
 		"Prints progress to the standard error and, last, one line to the standard output.\n" +
-		"Exit status: 0; 1 if a promise was broken or too few were answered; 2 if it could not be driven or checked.\n"
+		"Exit status: 0; 1 if a promise was broken, a journal could not be read, or too few\n" +
+		"were answered; 2 if it could not be driven.\n"
 }
 
 func (c *loadCommand) SetFlags(f *flag.FlagSet) {
@@ -65,6 +66,9 @@
 	for _, reason := range slices.Sorted(maps.Keys(report.Reasons)) {
 		fmt.Printf("sends without an answer: %d %s\n", report.Reasons[reason], reason)
 	}
+	for _, unread := range report.Unread {
+		fmt.Println("unread journal:", unread)
+	}
 	if report.Lied > 0 {
 		fmt.Printf("lied=%d keys=%s\n", report.Lied, strings.Join(report.LiedKeys, ","))
 	}
--- a/internal/standin/load/journals.go
+++ b/internal/standin/load/journals.go
@@ -38,21 +38,24 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// readRuns returns how often each key ran.
-func readRuns(config *Config) (map[string]int, error) {
+// readRuns returns how often each key ran, and the errors of the journals that
+// could not be read.
+func readRuns(config *Config) (map[string]int, []error) {
 	if config.Collector != nil {
 		return config.Collector.journal.Runs(), nil
 	}
 	journal := target.NewJournal()
 	client := &http.Client{Timeout: journalTimeout}
+	var unread []error
 	for _, address := range config.Journals {
 		answer, err := readJournal(client, address)
 		if err != nil {
-			return nil, err
+			unread = append(unread, err)
+			continue
 		}
 		journal.Merge(answer.Runs)
 	}
-	return journal.Runs(), nil
+	return journal.Runs(), unread
 }
 
 func readJournal(client *http.Client, address string) (target.JournalAnswer, error) {
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -57,6 +57,9 @@
 	LiedKeys    []string `json:"lied_keys,omitempty"`
 	// RecordedRuns counts the runs that the journals hold.
 	RecordedRuns int `json:"recorded_runs"`
+	// Unread tells which journals could not be read, so that doubles may have
+	// been missed.
+	Unread []string `json:"unread,omitempty"`
 	// Resends counts sends after the first, Duplicates the filings that were
 	// sent twice at once, Broken the sends without an answer.
 	Resends    int `json:"resends"`
@@ -157,9 +160,9 @@
 		r.Doubled, r.All.Misrouted, r.All.Truncated, r.All.Latency.P50, r.All.Latency.P99)
 }
 
-// Broke reports whether the load found a promise broken.
+// Broke reports whether the load found a promise broken, or could not tell.
 func (r *Report) Broke() bool {
-	return r.Doubled+r.Lied+r.All.Misrouted+r.All.Truncated > 0
+	return r.Doubled+r.Lied+r.All.Misrouted+r.All.Truncated+len(r.Unread) > 0
 }
 
 // AnsweredShare is the share of the operations that were answered.
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -15,7 +15,7 @@
 const progressPeriod = time.Second
 
 // Run drives the load and checks it. The context ends it early. The error
-// tells that the load could not be driven or checked, not what it found.
+// tells that the load could not be driven, not what it found.
 func Run(ctx context.Context, config Config) (*Report, error) {
 	if err := config.complete(); err != nil {
 		return nil, err
@@ -33,11 +33,12 @@
 	if err != nil {
 		return nil, err
 	}
-	runs, err := readRuns(&config)
-	if err != nil {
-		return nil, err
+	runs, unread := readRuns(&config)
+	found := newReport(tally, runs, min(took, config.Duration))
+	for _, err := range unread {
+		found.Unread = append(found.Unread, err.Error())
 	}
-	return newReport(tally, runs, min(took, config.Duration)), nil
+	return found, nil
 }
 
 // drive starts operations on schedule and waits until all have ended.
--- a/internal/standin/load/run_test.go
+++ b/internal/standin/load/run_test.go
@@ -142,8 +142,25 @@
 		}
 		response.Body.Close()
 	}
-	runs, err := readRuns(&Config{Collector: collector})
-	if err != nil || runs["a"] != 2 || runs["b"] != 2 {
-		t.Fatalf("runs %v, %v", runs, err)
+	runs, unread := readRuns(&Config{Collector: collector})
+	if len(unread) > 0 || runs["a"] != 2 || runs["b"] != 2 {
+		t.Fatalf("runs %v, %v", runs, unread)
+	}
+}
+
+func TestUnreadJournalIsTold(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	report, err := Run(t.Context(), Config{
+		Ingresses: []string{address},
+		Journals:  []string{address},
+		Mix:       filings(),
+		Rate:      100,
+		Duration:  50 * time.Millisecond,
+		MaxSends:  1,
+	})
+	if err != nil || len(report.Unread) != 1 || !report.Broke() {
+		t.Fatalf("report %+v, %v", report, err)
 	}
 }
