Measure what one node and two nodes add to a request

Users want at most 1 ms added to 99 of 100 calls, and nothing measured it.

The stand-in target tells how long it worked on a request, and the load records the latency less that time, for each class. A class may go to its own addresses, so that one load, with one schedule and one seed, draws the path of each request: to the target directly, through the node beside it, through a node elsewhere by HTTP/1.1 and by cleartext HTTP/2. Separate loads one after the other were ruled out: the machine's other work changes between them more than the nodes add.

--- a/cmd/vtstandin/load.go
+++ b/cmd/vtstandin/load.go
@@ -28,6 +28,7 @@
 	collect     string
 	reportFile  string
 	minAnswered float64
+	added       bool
 }
 
 func (*loadCommand) Name() string     { return "load" }
@@ -53,6 +54,7 @@
 	f.StringVar(&c.journals, "journals", "", "addresses of targets whose journals are read, `IP:port,...`")
 	f.StringVar(&c.collect, "collect", "", "`IP:port` to take runs from targets on, instead of -journals")
 	f.StringVar(&c.reportFile, "report", "", "`file` for the report in JSON")
+	f.BoolVar(&c.added, "added", false, "print what each class took beyond the targets' own time")
 	f.Float64Var(&c.minAnswered, "min-answered", 0, "share of operations that must be answered")
 }
 
@@ -75,6 +77,9 @@
 	if report.Doubled > 0 {
 		fmt.Printf("doubled keys=%s\n", strings.Join(report.DoubledKeys, ","))
 	}
+	if c.added {
+		fmt.Print(report.AddedTable(c.config.Mix))
+	}
 	fmt.Println(report.Line())
 	if report.Broke() || report.AnsweredShare() < c.minAnswered {
 		return subcommands.ExitFailure
--- a/internal/standin/load/mix.go
+++ b/internal/standin/load/mix.go
@@ -25,6 +25,14 @@
 	BodyBytes int `yaml:"body_bytes"`
 	// AnswerBytes is the size of the answer.
 	AnswerBytes int `yaml:"answer_bytes"`
+	// Host is the name that callers use, if it is not the mix's.
+	Host string `yaml:"host"`
+	// Ingresses are the addresses, "IP:port", that the class is sent to, if
+	// they are not the load's.
+	Ingresses []string `yaml:"ingresses"`
+	// Baseline names the class that this one is compared with. Empty means
+	// none.
+	Baseline string `yaml:"baseline"`
 	// Crash makes each operation crash the target that runs it.
 	Crash bool `yaml:"crash"`
 }
--- a/internal/standin/load/sender.go
+++ b/internal/standin/load/sender.go
@@ -54,7 +54,8 @@
 func (s *sender) run(ctx context.Context, op *operation, offset int) result {
 	last := notRun
 	for i := range s.config.MaxSends {
-		ingress := s.config.Ingresses[(op.first+offset+i)%len(s.config.Ingresses)]
+		ingresses := s.ingresses(op.class)
+		ingress := ingresses[(op.first+offset+i)%len(ingresses)]
 		sent, wait := s.send(ctx, op, ingress)
 		if sent.final() {
 			return sent
@@ -71,6 +72,22 @@
 	return last
 }
 
+// ingresses returns the addresses that the class is sent to.
+func (s *sender) ingresses(class *Class) []string {
+	if len(class.Ingresses) > 0 {
+		return class.Ingresses
+	}
+	return s.config.Ingresses
+}
+
+// host returns the name that callers of the class use.
+func (s *sender) host(class *Class) string {
+	if class.Host != "" {
+		return class.Host
+	}
+	return s.config.Mix.Host
+}
+
 // send sends an operation once. It returns the result and how long to wait
 // before the next send.
 func (s *sender) send(ctx context.Context, op *operation, ingress string) (result, time.Duration) {
@@ -92,6 +109,7 @@
 		return unknown, jitter(resendDelay)
 	}
 	if response.StatusCode == http.StatusOK {
+		s.tally.added(op, time.Since(started), response.Header)
 		return op.check(body), 0
 	}
 	sent := outcome(response)
@@ -108,7 +126,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "make request to %s", ingress)
 	}
-	r.Host = s.config.Mix.Host
+	r.Host = s.host(op.class)
 	r.Header.Set(target.HeaderNonce, op.nonce)
 	r.Header.Set(target.HeaderSize, strconv.Itoa(op.class.AnswerBytes))
 	r.Header.Set(request.HeaderTimeout, strconv.FormatInt(s.config.Timeout.Milliseconds(), 10))
--- a/internal/standin/load/tally.go
+++ b/internal/standin/load/tally.go
@@ -1,10 +1,14 @@
 package load
 
 import (
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"verbenatrestle/internal/standin/target"
 )
 
 const (
@@ -24,10 +28,12 @@
 	sent    int
 	results [resultCount]int
 	latency *hdrhistogram.Histogram
+	// added is the latency of answered sends less the target's own time.
+	added *hdrhistogram.Histogram
 }
 
 func newGroup() *group {
-	return &group{latency: newHistogram()}
+	return &group{latency: newHistogram(), added: newHistogram()}
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -111,6 +117,19 @@
 	}
 }
 
+// added records what a send took beyond the target's own time.
+func (t *tally) added(op *operation, latency time.Duration, header http.Header) {
+	micros, err := strconv.ParseInt(header.Get(target.HeaderWorkMicros), 10, 64)
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.groups(op) {
+		record(g.added, latency-time.Duration(micros)*time.Microsecond)
+	}
+}
+
 func (t *tally) resent() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/standin/target/answer.go
+++ b/internal/standin/target/answer.go
@@ -19,6 +19,9 @@
 	HeaderCrash = "X-Crash"
 	// HeaderRanBy is the instance of the target that ran the request.
 	HeaderRanBy = "X-Ran-By"
+	// HeaderWorkMicros is how long the target took for the request, from the
+	// start of its handler to the answer, in whole microseconds.
+	HeaderWorkMicros = "X-Work-Us"
 	// CrashMarker in a request's body makes the target crash.
 	CrashMarker = "CRASH-THE-TARGET"
 )
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -33,6 +33,7 @@
 }
 
 func (t *Target) serveWork(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
 	instance, life := t.current()
 	w.Header().Set(request.HeaderInstance, instance)
 	if id := r.Header.Get(request.HeaderRequestID); id != "" {
@@ -60,7 +61,7 @@
 		refuse(w, http.StatusServiceUnavailable, "gave up before a slot was free")
 		return
 	}
-	answered = t.work(ctx, w, r, body)
+	answered = t.work(ctx, w, r, body, began)
 }
 
 // enter decides whether the request runs, and answers it if not.
@@ -106,8 +107,9 @@
 	}
 }
 
-// work runs the request and reports whether it wrote the answer.
-func (t *Target) work(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) bool {
+// work runs the request, whose handler began at the given time, and reports
+// whether it wrote the answer.
+func (t *Target) work(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte, began time.Time) bool {
 	if err := t.begin(ctx, r); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return false
@@ -116,7 +118,7 @@
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if !pause(ctx, t.serviceTime()) || !t.waitOutStall(ctx) {
+	if !t.labour(ctx, t.serviceTime()) || !t.waitOutStall(ctx) {
 		t.count(func(s *Stats) { s.Cancelled++ })
 		w.Header().Set(request.HeaderOutcome, string(request.Unknown))
 		http.Error(w, "cancelled", http.StatusGatewayTimeout)
@@ -127,6 +129,7 @@
 	header.Set("Content-Type", "application/octet-stream")
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
 	header.Set(HeaderRanBy, header.Get(request.HeaderInstance))
+	header.Set(HeaderWorkMicros, strconv.FormatInt(time.Since(began).Microseconds(), 10))
 	_, err := w.Write(answer)
 	return err == nil
 }
@@ -145,14 +148,13 @@
 	return errors.Wrap(t.collector.record(ctx, key), "begin run")
 }
 
-// serviceTime draws how long the work takes now.
+// serviceTime draws how long the work takes unless the target is slow.
 func (t *Target) serviceTime() time.Duration {
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	half := float64(t.options.ServiceTime) / 2
 	duration := half + half*t.rng.ExpFloat64()
-	return time.Duration(duration * t.slownessLocked(now))
+	return time.Duration(duration * t.coldnessLocked())
 }
 
 // waitOutStall waits while the target has fallen over.
