Give a kept answer the request ID of the request that it answers

Cause: an owner keeps an answer with its headers, the request ID of the first send among them. A second send got that ID back, and the hop client refused it as an answer to another request. Ruled out: answers crossing between requests (misrouted=0; the IDs were those of earlier sends of the same key). Change: an answer is passed on without the request ID that it was recorded with; each hop sets its own. Also refuse to keep an answer over limits.max_answer_bytes when it is short enough to be buffered; and count retries that the budget denied and requests that ran out of targets. Before: the new spec "gives a second request the kept answer" fails.

--- a/node/answer.go
+++ b/node/answer.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"verbenatrestle/request"
 )
 
 // bufferedAnswerBytes is how much of an answer the node reads before it
@@ -29,10 +31,11 @@
 	node string
 }
 
-// readAnswer reads the head of the response. It fails when the body breaks
-// off within the head.
+// readAnswer reads the head of the response, whose headers it takes over. It
+// fails when the body breaks off within the head.
 func readAnswer(resp *http.Response) (*answer, error) {
-	a := &answer{status: resp.StatusCode, header: endToEnd(resp.Header), length: resp.ContentLength}
+	strip(resp.Header)
+	a := &answer{status: resp.StatusCode, header: resp.Header, length: resp.ContentLength}
 	head, err := readUpTo(resp.Body, bufferedAnswerBytes, resp.ContentLength)
 	if err != nil {
 		_ = resp.Body.Close()
@@ -61,10 +64,13 @@
 
 // readAll reads the whole body into head, and fails when it is longer than max.
 func (a *answer) readAll(max int64) error {
+	defer a.close()
+	if int64(len(a.head)) > max {
+		return errAnswerTooLarge
+	}
 	if a.rest == nil {
 		return nil
 	}
-	defer a.close()
 	tail, err := readUpTo(a.rest, max-int64(len(a.head))+1, -1)
 	if err != nil {
 		return errors.Wrap(err, "read answer")
@@ -88,13 +94,16 @@
 	}
 }
 
-// writeTo passes the answer on whole. When the rest of the body breaks off it
+// writeTo passes the answer on whole, under the request ID that the caller of
+// this hop gave, which a kept answer was not recorded with. When the rest of the body breaks off it
 // aborts the connection, so that a cut answer is never taken for a whole one.
 func (a *answer) writeTo(w http.ResponseWriter) {
 	defer a.close()
 	header := w.Header()
 	for name, values := range a.header {
-		header[name] = values
+		if name != request.HeaderRequestID {
+			header[name] = values
+		}
 	}
 	if a.length >= 0 && a.status != http.StatusNotModified && header.Get("Content-Length") == "" {
 		header.Set("Content-Length", strconv.FormatInt(a.length, 10))
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -93,6 +93,7 @@
 
 // noTarget ends a request for which there is no further target.
 func (r *dispatchRun) noTarget(last result) result {
+	r.metrics.exhausted.Inc(1)
 	if last.answer != nil || last.failure != nil {
 		return last
 	}
@@ -111,10 +112,22 @@
 	if ctx.Err() != nil || r.order.deadline.Expired(now) {
 		return false
 	}
+	if !last.notRun() && !r.order.route.Idempotent {
+		return false
+	}
+	allowed := r.allow(last, now)
+	if !allowed {
+		r.metrics.retriesDenied.Inc(1)
+	}
+	return allowed
+}
+
+// allow spends the price of another attempt, if the retry budget has it.
+func (r *dispatchRun) allow(last *result, now time.Time) bool {
 	if last.notRun() {
 		return r.budget.retry.AllowRefused(now)
 	}
-	return r.order.route.Idempotent && r.budget.retry.AllowUnknown(now)
+	return r.budget.retry.AllowUnknown(now)
 }
 
 // attempt makes one attempt, beside which a hedge may start.
--- a/node/guard.go
+++ b/node/guard.go
@@ -71,7 +71,7 @@
 		return g.end(ticket, o, admission.NotSent, "", failed(balance.Cancelled,
 			newFailure(http.StatusGatewayTimeout, request.NotRun, stepTarget, g.self, "out of time", err)))
 	}
-	resp, err := client.http.Do(r)
+	resp, err := client.transport.RoundTrip(r)
 	if err != nil {
 		return g.endError(ctx, ticket, o, client, connected, err)
 	}
--- a/node/hopclient.go
+++ b/node/hopclient.go
@@ -31,9 +31,11 @@
 
 // hopClient sends requests to other nodes.
 type hopClient struct {
-	client  *http.Client
-	key     string
-	resolve func(node string) (address string, ok bool)
+	// transport is used without an http.Client, which would copy the headers
+	// and follow redirects.
+	transport *http.Transport
+	key       string
+	resolve   func(node string) (address string, ok bool)
 }
 
 func newHopClient(protocol HopProtocol, key string, resolve func(string) (string, bool)) *hopClient {
@@ -47,9 +49,9 @@
 		Protocols:             protocols(protocol),
 	}
 	return &hopClient{
-		client:  &http.Client{Transport: transport, CheckRedirect: noRedirect},
-		key:     key,
-		resolve: resolve,
+		transport: transport,
+		key:       key,
+		resolve:   resolve,
 	}
 }
 
@@ -61,11 +63,6 @@
 	return set
 }
 
-// noRedirect hands redirects to the caller as they are.
-func noRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // send sends the order to the node for the given hop and returns its answer.
 // Step names the hop in failures.
 func (c *hopClient) send(ctx context.Context, node, hop string, o *order) result {
@@ -82,7 +79,7 @@
 		return failed(balance.Cancelled, newFailure(http.StatusGatewayTimeout, request.NotRun, step, node, "out of time", err))
 	}
 	r.Header.Set(headerHopKey, c.key)
-	resp, err := c.client.Do(r)
+	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
 		return failed(balance.Failed, sendFailure(step, node, connected, err))
 	}
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return
 	}
-	resp, err := client.http.Do(r)
+	resp, err := client.transport.RoundTrip(r)
 	if err != nil {
 		return
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,24 +9,30 @@
 	requests     metrics.Counter
 	retries      metrics.Counter
 	ownerRetries metrics.Counter
-	hedges       metrics.Counter
-	hedgesWon    metrics.Counter
-	notRun       metrics.Counter
-	unknown      metrics.Counter
-	cancelled    metrics.Counter
-	latency      metrics.Timer
+	// retriesDenied counts attempts that the retry budget had no room for.
+	retriesDenied metrics.Counter
+	// exhausted counts requests for which there was no further target.
+	exhausted metrics.Counter
+	hedges    metrics.Counter
+	hedgesWon metrics.Counter
+	notRun    metrics.Counter
+	unknown   metrics.Counter
+	cancelled metrics.Counter
+	latency   metrics.Timer
 }
 
 func newRequestMetrics(r metrics.Registry) *requestMetrics {
 	return &requestMetrics{
-		requests:     metrics.NewRegisteredCounter("ingress.requests", r),
-		retries:      metrics.NewRegisteredCounter("dispatch.retries", r),
-		ownerRetries: metrics.NewRegisteredCounter("owner.retries", r),
-		hedges:       metrics.NewRegisteredCounter("dispatch.hedges", r),
-		hedgesWon:    metrics.NewRegisteredCounter("dispatch.hedges_won", r),
-		notRun:       metrics.NewRegisteredCounter("ingress.not_run", r),
-		unknown:      metrics.NewRegisteredCounter("ingress.unknown", r),
-		cancelled:    metrics.NewRegisteredCounter("ingress.cancelled", r),
-		latency:      metrics.NewRegisteredTimer("ingress.latency", r),
+		requests:      metrics.NewRegisteredCounter("ingress.requests", r),
+		retries:       metrics.NewRegisteredCounter("dispatch.retries", r),
+		ownerRetries:  metrics.NewRegisteredCounter("owner.retries", r),
+		retriesDenied: metrics.NewRegisteredCounter("dispatch.retries_denied", r),
+		exhausted:     metrics.NewRegisteredCounter("dispatch.exhausted", r),
+		hedges:        metrics.NewRegisteredCounter("dispatch.hedges", r),
+		hedgesWon:     metrics.NewRegisteredCounter("dispatch.hedges_won", r),
+		notRun:        metrics.NewRegisteredCounter("ingress.not_run", r),
+		unknown:       metrics.NewRegisteredCounter("ingress.unknown", r),
+		cancelled:     metrics.NewRegisteredCounter("ingress.cancelled", r),
+		latency:       metrics.NewRegisteredTimer("ingress.latency", r),
 	}
 }
--- a/node/order.go
+++ b/node/order.go
@@ -132,16 +132,21 @@
 // without those that nodes exchange.
 func endToEnd(in http.Header) http.Header {
 	out := in.Clone()
-	for _, names := range in["Connection"] {
+	strip(out)
+	return out
+}
+
+// strip takes off the headers of the connection and those that nodes exchange.
+func strip(h http.Header) {
+	for _, names := range h["Connection"] {
 		for _, name := range splitList(names) {
-			out.Del(name)
+			h.Del(name)
 		}
 	}
 	for _, name := range connectionHeaders {
-		out.Del(name)
+		delete(h, name)
 	}
 	for _, name := range hopHeaders {
-		out.Del(name)
+		delete(h, name)
 	}
-	return out
 }
--- /dev/null
+++ b/node/owner_test.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"verbenatrestle/process/ownership"
+	"verbenatrestle/process/ownership/claim"
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+	"verbenatrestle/version"
+)
+
+// oneClaim is a partition that holds a single claim.
+type oneClaim struct {
+	verdict ownership.Verdict
+	answer  *claim.Answer
+	ends    []string
+}
+
+func (c *oneClaim) Claim(ownership.Request) ownership.Decision {
+	return ownership.Decision{Verdict: c.verdict, Answer: c.answer, Reason: ownership.ReasonNoLease, RetryAfter: 70 * time.Millisecond}
+}
+
+func (c *oneClaim) Complete(_ ownership.Ticket, a *claim.Answer) {
+	c.verdict = ownership.Replay
+	c.answer = a
+	c.ends = append(c.ends, "complete")
+}
+
+func (c *oneClaim) Abort(ownership.Ticket) { c.ends = append(c.ends, "abort") }
+
+func (c *oneClaim) Lost(ownership.Ticket) { c.ends = append(c.ends, "lost") }
+
+var _ = Describe("an owner", func() {
+	var (
+		claims *oneClaim
+		runs   int
+		run    func(o *order) result
+		send   func(id string) result
+	)
+
+	BeforeEach(func() {
+		claims = &oneClaim{verdict: ownership.Run}
+		runs = 0
+		run = func(o *order) result {
+			header := http.Header{request.HeaderRequestID: {o.id}, "X-Entry": {"7"}}
+			return result{answer: &answer{status: http.StatusCreated, header: header, head: []byte("filed"), length: 5}}
+		}
+		service := version.Service{ID: "org/s", PathPrefix: "/s/", Routes: testRoutes}
+		snapshot := version.NewSnapshot(1, time.Now(), []*version.Organisation{{Name: "org", Services: []version.Service{service}}}, nil, nil)
+		own := &owner{self: "o", claims: claims, maxAnswer: 100, dispatch: func(_ context.Context, o *order) result {
+			runs++
+			return run(o)
+		}}
+		server := httptest.NewServer(&hopServer{self: "o", key: testPeerKey, snapshot: func() *version.Snapshot { return snapshot }, owner: own})
+		DeferCleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		hops := newHopClient(HopHTTP1, testPeerKey, func(string) (string, bool) { return address, true })
+		send = func(id string) result {
+			deadline, err := request.NewDeadline(time.Now(), "", time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			s := snapshot.Service("org/s")
+			o := &order{id: id, service: s, route: s.RouteNamed("file"), method: "POST", uri: "/s/entries",
+				header: http.Header{}, key: "k", deadline: deadline}
+			return hops.send(context.Background(), "o", request.HopOwner, o)
+		}
+	})
+
+	It("gives a second request the kept answer as an answer to that request", func() {
+		for _, id := range []string{"first", "second"} {
+			res := send(id)
+			Expect(res.failure).To(BeNil())
+			Expect(res.answer.status).To(Equal(http.StatusCreated))
+			Expect(string(res.answer.head)).To(Equal("filed"))
+			Expect(res.answer.header.Get("X-Entry")).To(Equal("7"))
+		}
+		Expect(runs).To(Equal(1))
+		Expect(claims.ends).To(Equal([]string{"complete"}))
+	})
+
+	It("takes back the claim of what was not run", func() {
+		run = func(*order) result {
+			return failed(balance.Refused, newFailure(503, request.NotRun, "admit", "n1", "target is full", nil))
+		}
+		Expect(send("first").failure.Outcome).To(Equal(request.NotRun))
+		Expect(claims.ends).To(Equal([]string{"abort"}))
+	})
+
+	It("keeps the claim of what may have been run", func() {
+		run = func(*order) result {
+			return failed(balance.Failed, newFailure(502, request.Unknown, stepTarget, "t1", "connection failed", nil))
+		}
+		Expect(send("first").failure.Outcome).To(Equal(request.Unknown))
+		Expect(claims.ends).To(Equal([]string{"lost"}))
+	})
+
+	It("keeps the claim of an answer that is longer than it keeps", func() {
+		run = func(*order) result {
+			return result{answer: &answer{status: 200, header: http.Header{}, head: make([]byte, 101), length: 101}}
+		}
+		Expect(send("first").failure.Outcome).To(Equal(request.Unknown))
+		Expect(claims.ends).To(Equal([]string{"lost"}))
+	})
+
+	DescribeTable("answers what it does not run",
+		func(verdict ownership.Verdict, status int, outcome request.Outcome) {
+			claims.verdict = verdict
+			f := send("first").failure
+			Expect(f.Status).To(Equal(status))
+			Expect(f.Outcome).To(Equal(outcome))
+			Expect(f.RetryAfter).To(Equal(70 * time.Millisecond))
+			Expect(runs).To(BeZero())
+		},
+		Entry("another's key", ownership.NotOwner, http.StatusMisdirectedRequest, request.NotRun),
+		Entry("no lease", ownership.Refused, http.StatusServiceUnavailable, request.NotRun),
+		Entry("a former owner's key", ownership.Unknown, http.StatusConflict, request.Unknown),
+		Entry("an answer no longer kept", ownership.Done, http.StatusConflict, request.Done),
+	)
+})
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -38,6 +38,9 @@
 	caller  *httptest.Server
 	guards  map[string]*guard
 	runs    atomic.Int64
+	cleanup func(func())
+	// dispatch is the ingress's dispatcher.
+	dispatch *dispatcher
 }
 
 const testPeerKey = "peer key of the specs"
@@ -49,7 +52,13 @@
 
 // newPath builds a path to one target for each handler, named n0, n1, ...
 func newPath(targets ...http.HandlerFunc) *path {
-	p := &path{guards: make(map[string]*guard)}
+	return buildPath(func(end func()) { DeferCleanup(end) }, HopHTTP1, targets...)
+}
+
+// buildPath is newPath outside of specs and with a choice of hops. Cleanup is
+// given what is to be called at the end.
+func buildPath(cleanup func(func()), protocol HopProtocol, targets ...http.HandlerFunc) *path {
+	p := &path{guards: make(map[string]*guard), cleanup: cleanup}
 	service := version.Service{ID: "org/s", PathPrefix: "/s/", Routes: testRoutes, Partitions: 1}
 	organisation := &version.Organisation{Name: "org", Hosts: []string{"org.example"}, Services: []version.Service{service}}
 	snapshot := version.NewSnapshot(1, time.Now(), []*version.Organisation{organisation}, nil, nil)
@@ -59,8 +68,10 @@
 	for i, target := range targets {
 		name := fmt.Sprintf("n%d", i)
 		p.guards[name] = p.startGuard(name, target)
-		hop := httptest.NewServer(&hopServer{self: name, key: testPeerKey, snapshot: current, guard: p.guards[name]})
-		DeferCleanup(hop.Close)
+		hop := httptest.NewUnstartedServer(&hopServer{self: name, key: testPeerKey, snapshot: current, guard: p.guards[name]})
+		hop.Config.Protocols = protocols(protocol)
+		hop.Start()
+		p.cleanup(hop.Close)
 		addresses[name] = strings.TrimPrefix(hop.URL, "http://")
 		endpoints = append(endpoints, balance.Endpoint{Node: name, State: load.Warm, Slots: 10, ColdLimit: 10})
 	}
@@ -70,7 +81,7 @@
 	table.SetEndpoints("org/s", endpoints)
 	resolve := func(node string) (string, bool) { a, ok := addresses[node]; return a, ok }
 	counters := newRequestMetrics(metrics.NewRegistry())
-	hops := newHopClient(HopHTTP1, testPeerKey, resolve)
+	hops := newHopClient(protocol, testPeerKey, resolve)
 	d := &dispatcher{
 		table:   table,
 		budgets: newBudgets(Budgets{RetryShare: 1, HedgeShare: 1}),
@@ -78,6 +89,7 @@
 		rngs:    newRandoms(),
 		metrics: counters,
 	}
+	p.dispatch = d
 	p.ingress = &ingress{
 		self:       "ingress",
 		settings:   Limits{MaxBodyBytes: 1 << 20, MaxCallerInFlight: 100},
@@ -89,7 +101,7 @@
 		metrics:    counters,
 	}
 	p.caller = httptest.NewServer(p.ingress)
-	DeferCleanup(p.caller.Close)
+	p.cleanup(p.caller.Close)
 	return p
 }
 
@@ -100,7 +112,7 @@
 		w.Header().Set(request.HeaderRequestID, r.Header.Get(request.HeaderRequestID))
 		target(w, r)
 	}))
-	DeferCleanup(server.Close)
+	p.cleanup(server.Close)
 	core, err := admission.New(admission.DefaultSettings, newRandom())
 	Expect(err).NotTo(HaveOccurred())
 	core.Announce(admission.Target{Instance: name, Slots: 10, Connections: 20, ColdLimit: 10}, time.Now())
--- a/node/targetclient.go
+++ b/node/targetclient.go
@@ -25,8 +25,10 @@
 type targetClient struct {
 	address string
 	base    string
-	http    *http.Client
-	dialer  net.Dialer
+	// transport is used without an http.Client, which would copy the headers
+	// and follow redirects.
+	transport *http.Transport
+	dialer    net.Dialer
 	// warm holds connections that were opened ahead of use.
 	warm chan warmConnection
 	// open counts open connections, used or not.
@@ -49,7 +51,7 @@
 		warm:    make(chan warmConnection, connections),
 		onCount: onCount,
 	}
-	transport := &http.Transport{
+	c.transport = &http.Transport{
 		DialContext:         c.dial,
 		DisableCompression:  true,
 		IdleConnTimeout:     targetIdleTimeout,
@@ -57,7 +59,6 @@
 		MaxIdleConnsPerHost: connections,
 		MaxConnsPerHost:     connections,
 	}
-	c.http = &http.Client{Transport: transport, CheckRedirect: noRedirect}
 	return c
 }
 
@@ -151,7 +152,7 @@
 func (c *targetClient) close() {
 	c.closed.Store(true)
 	c.drop()
-	c.http.CloseIdleConnections()
+	c.transport.CloseIdleConnections()
 }
 
 func (c *targetClient) drop() {
--- a/node/versions.go
+++ b/node/versions.go
@@ -97,7 +97,7 @@
 	}
 	r.Header.Set(headerHopKey, v.hops.key)
 	r.Header.Set(request.HeaderHop, hopVersion)
-	resp, err := v.hops.client.Do(r)
+	resp, err := v.hops.transport.RoundTrip(r)
 	if err != nil {
 		return answer, errors.Wrapf(err, "ask %s for its version", m.Node)
 	}
