Let slowness of a stand-in target follow the moment

Cause: the stand-in drew the whole time of a request when it began, so a spell of slowness left alone what ran already, and went on for what began in it after it was over. A server with a noisy neighbour is slow for all it runs, while the neighbour is noisy.

Change: work advances at the pace of each moment.

--- a/internal/standin/oracle/oracle.go
+++ b/internal/standin/oracle/oracle.go
@@ -3,8 +3,8 @@
 // knowledge could give.
 //
 // Each target sends its state by UDP at every arrival and end of a request, as
-// a Report. GET / on the same address gives all of them as a JSON object of
-// Vt-Load headers by node.
+// a Report. A datagram that begins with Question gives all of them in one, as a
+// JSON object of Vt-Load headers by node; so does GET / on the same address.
 package oracle
 
 import (
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,10 @@
 // maxDatagram bounds a report, in bytes.
 const maxDatagram = 512
 
+// Question begins a datagram that asks for all reports. What follows it comes
+// back in the answer under the name Question.
+const Question = "?"
+
 // Report is the state of one target.
 type Report struct {
 	// Node is the name of the node beside the target.
@@ -76,13 +81,17 @@
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := conn.ReadFrom(buffer)
+		n, from, err := conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			return errors.Wrapf(err, "receive reports on %s", conn.LocalAddr())
 		}
+		if number, ok := strings.CutPrefix(string(buffer[:n]), Question); ok {
+			_, _ = conn.WriteTo(s.answer(map[string]string{Question: number}), from)
+			continue
+		}
 		if report, err := ParseReport(string(buffer[:n])); err == nil {
 			s.Learn(report)
 		}
@@ -91,12 +100,17 @@
 
 // ServeHTTP gives the load headers of all targets by node.
 func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(s.answer(make(map[string]string)))
+}
+
+// answer adds the load headers of all targets by node, and returns JSON.
+func (s *Server) answer(headers map[string]string) []byte {
 	s.mu.Lock()
-	headers := make(map[string]string, len(s.reports))
+	defer s.mu.Unlock()
 	for node, report := range s.reports {
 		headers[node] = report.Sample.Header()
 	}
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(headers)
+	answer, _ := json.Marshal(headers) // a map of strings, hence never an error
+	return answer
 }
--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -30,6 +30,8 @@
 	Drain *bool `json:"drain,omitempty"`
 	// Crash makes the target crash.
 	Crash bool `json:"crash,omitempty"`
+	// ResetStats starts the counters and peaks of /stats anew.
+	ResetStats bool `json:"reset_stats,omitempty"`
 }
 
 // forGood is the time of a slowdown without end.
@@ -42,6 +44,8 @@
 	failFast   bool
 	shed       float64
 	lie        float64
+	// changed is closed, and replaced, when a control arrives.
+	changed chan struct{}
 }
 
 // report is what /load tells.
@@ -66,6 +70,9 @@
 	if control.Drain != nil {
 		t.draining = *control.Drain
 	}
+	if control.ResetStats {
+		t.stats = Stats{PeakInFlight: t.capacity.inFlight}
+	}
 	t.mu.Unlock()
 	if control.Drain != nil && *control.Drain {
 		go t.drainNow()
@@ -76,6 +83,8 @@
 }
 
 func (f *faults) apply(control Control, now time.Time) {
+	close(f.changed)
+	f.changed = make(chan struct{})
 	if control.SlowFactor != nil {
 		f.slowFactor = *control.SlowFactor
 		f.slowUntil = now.Add(forGood)
--- a/internal/standin/target/truth.go
+++ b/internal/standin/target/truth.go
@@ -71,12 +71,17 @@
 
 // slownessLocked is how many times longer than usual the work takes.
 func (t *Target) slownessLocked(now time.Time) float64 {
-	slowness := 1.0
-	if !t.capacity.warm() {
-		slowness *= t.options.ColdFactor
-	}
+	slowness := t.coldnessLocked()
 	if now.Before(t.faults.slowUntil) {
 		slowness *= t.faults.slowFactor
 	}
 	return slowness
 }
+
+// coldnessLocked is how many times longer the work takes of a cold target.
+func (t *Target) coldnessLocked() float64 {
+	if t.capacity.warm() {
+		return 1
+	}
+	return t.options.ColdFactor
+}
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -118,7 +118,7 @@
 		t.crash()
 		panic(http.ErrAbortHandler)
 	}
-	if !pause(ctx, t.serviceTime()) || !t.waitOutStall(ctx) {
+	if !t.labour(ctx, t.serviceTime()) || !t.waitOutStall(ctx) {
 		t.count(func(s *Stats) { s.Cancelled++ })
 		w.Header().Set(request.HeaderOutcome, string(request.Unknown))
 		http.Error(w, "cancelled", http.StatusGatewayTimeout)
@@ -148,14 +148,13 @@
 	return errors.Wrap(t.collector.record(ctx, key), "begin run")
 }
 
-// serviceTime draws how long the work takes now.
+// serviceTime draws how long the work takes unless the target is slow.
 func (t *Target) serviceTime() time.Duration {
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	half := float64(t.options.ServiceTime) / 2
 	duration := half + half*t.rng.ExpFloat64()
-	return time.Duration(duration * t.slownessLocked(now))
+	return time.Duration(duration * t.coldnessLocked())
 }
 
 // waitOutStall waits while the target has fallen over.
