Add measurement of balancing policies and admission limits

POLICIES may name any policy, with settings (ours+admission_limit=vegas), and LIMITS adaptive limits.

Each figure is the mean of a policy's rounds, so that other work on the machine, whose busy share is printed, meets all policies alike.

Loads: 70% of the slots when steady; 50% with noisy neighbours and a fast failer, 55% at a cold return, since with one of three targets slow the other two bear no more than 71% in all, and every policy would only refuse. Mean service times are 40 ms for the fleet of 260 slots and 20 ms for the one of 130, so that one machine bears the requests of all slots.

Ruled out: one fleet that is restarted per policy (its targets would be cold each time), and disturbing targets from the shell (spells of 20 ms are too short for it).

Nothing final measured: the machine was busy with other work.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 export CGO_ENABLED := 1
 BIN := bin
-PROGRAMS := vtnode vtctl vtstandin
+PROGRAMS := vtnode vtctl vtstandin vtbench
 # DURATION is how long the demo drives load, in seconds.
 DURATION ?= 20
 # ORG is the organisation that the demo stamps out.
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,195 @@
+#!/usr/bin/env bash
+# bench.sh: balancing policies and admission limits compared on loopback, as
+# separate processes, in rounds that take turns. Options by environment:
+#
+#   ORG        kodumala, flavour-trials or both (default)
+#   POLICIES   policies to compare; "ours" is the node's default. A name may
+#              carry settings: NAME+KEY=VALUE, as in ours+admission_limit=vegas
+#   LIMITS     adaptive limits; each is compared under the node's default policy
+#   SCENARIOS  steady noisy failfast coldreturn overload
+#   SECONDS_PER_ROUND, ROUNDS   length and number of the rounds of each policy
+#   SEED       seed of the operations, service times and disturbances
+#   RATE       share of the capacity, instead of each scenario's own
+#   SERVICE_MS mean service time in milliseconds, instead of the organisation's own
+#   OUT        directory to keep the rounds in, instead of a temporary one
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BIN=${BIN:-bin}
+NET=${NET:-127.7}
+source scripts/lib.sh
+
+readonly ORGS=${ORG:-kodumala flavour-trials}
+readonly SCENARIOS=${SCENARIOS:-steady noisy failfast coldreturn overload}
+readonly ROUNDS=${ROUNDS:-2} ROUND_SECONDS=${SECONDS_PER_ROUND:-4} SEED=${SEED:-20261203}
+readonly ROOT=${OUT:-$(mktemp -d)}
+policies=(${POLICIES:-random roundrobin leastreported twochoices ours oracle})
+for limit in ${LIMITS:-}; do policies+=("ours+admission_limit=$limit"); done
+# WARM_SECONDS is how long a fleet is driven before each round, and
+# START_SECONDS before its first; WARM_SHARE is the load then.
+readonly WARM_SECONDS=1 START_SECONDS=5 WARM_SHARE=0.6
+# MEASURING_BUDGET is the bytes a second that a node may spend on measuring.
+readonly MEASURING_BUDGET=4096
+# Names of the addresses of the oracle: the platform's, and the next port.
+readonly ORACLE_PORT=9001
+
+# finish ends all processes.
+finish() {
+  local status=$?
+  trap - EXIT
+  stop_all
+  [[ -n ${OUT_KEPT:-} ]] || rm -rf "$ROOT"
+  exit "$status"
+}
+OUT_KEPT=${OUT:-}
+mkdir -p "$ROOT"
+trap finish EXIT
+trap 'exit 130' INT TERM
+
+# share SCENARIO prints the load as a share of the capacity. Where targets are
+# slow, fail or are cold, the others of their service still bear the whole load.
+share() {
+  case $1 in
+    steady) echo "${RATE_SHARE:-0.7}" ;;
+    noisy | failfast) echo "${RATE_SHARE:-0.5}" ;;
+    coldreturn) echo "${RATE_SHARE:-0.55}" ;;
+    overload) echo "${RATE_SHARE:-1.5}" ;;
+  esac
+}
+RATE_SHARE=${RATE:-}
+
+# service_ms ORG prints the mean service time in milliseconds: such that this
+# machine bears the load of all slots.
+service_ms() {
+  [[ -z ${SERVICE_MS:-} ]] || { echo "$SERVICE_MS"; return; }
+  case $1 in
+    kodumala) echo 40 ;;
+    flavour-trials) echo 20 ;;
+  esac
+}
+
+# settings POLICY prints the settings of a policy's nodes.
+settings() {
+  local part
+  for part in ${1//+/ }; do
+    case $part in
+      ours) ;;
+      oracle) echo "policy: oracle"; echo "oracle_address: http://${PLATFORM%:*}:$ORACLE_PORT/" ;;
+      *=*) echo "${part%%=*}: ${part#*=}" ;;
+      *) echo "policy: $part" ;;
+    esac
+  done
+}
+
+# use_fleet NUMBER sets the variables of the fleet of a policy.
+use_fleet() {
+  DC_OFFSET=$((10 * $1))
+  PLATFORM=$NET.$DC_OFFSET.1:9000
+  OUT=$ROOT/$ORG/fleet-$1
+  mkdir -p "$OUT"
+  fleet_init "$ORG"
+}
+
+# start_fleet NUMBER POLICY starts platform, nodes and targets of a policy.
+start_fleet() {
+  local node seed=0 oracle=()
+  use_fleet "$1"
+  EXTRA_SETTINGS=$(settings "$2")
+  start_platform
+  if [[ $2 == oracle* ]]; then
+    start oracle "$BIN/vtstandin" oracle -address "${PLATFORM%:*}:$ORACLE_PORT"
+    oracle=(-oracle "${PLATFORM%:*}:$ORACLE_PORT")
+  fi
+  start_nodes
+  for node in "${NODES[@]}"; do
+    seed=$((seed + 1))
+    start_target "$node" -seed "$((SEED + seed))" -node "$node" "${oracle[@]}" \
+      -service-time "$(service_ms "$ORG")ms" -start-warm
+  done
+}
+
+# write_mix FILE writes a mix in proportion to the services' targets.
+write_mix() {
+  local entry service count
+  echo "host: $ORG.example"
+  echo "classes:"
+  for entry in "${SERVICES[@]}"; do
+    read -r service count <<<"$entry"
+    case $service in
+      entry-filing) path=/entry-filing/entries ;;
+      certification) path=/certification/certificates ;;
+      batches) path=/batches/bookings ;;
+      panels) path=/panels/scores ;;
+      *) path= ;;
+    esac
+    if [[ -n $path ]]; then
+      echo "  - {name: $service, weight: $count, method: POST, path: $path, keyed: true, body_bytes: 300, answer_bytes: 512}"
+    else
+      echo "  - {name: $service, weight: $count, method: GET, path: \"/$service/items/{id}\", answer_bytes: 2048}"
+    fi
+  done
+}
+
+# places prints the targets with service and data centre for vtbench.
+places() {
+  local node list=()
+  for node in "${NODES[@]}"; do
+    list+=("${IP_OF[$node]}:$TARGET_PORT/${SERVICE_OF[$node]}/${DC_OF[$node]}")
+  done
+  (IFS=,; echo "${list[*]}")
+}
+
+# drive SHARE SECONDS SEED [FLAGS] drives load at the fleet in use.
+drive() {
+  local rate
+  rate=$(awk "BEGIN { print $1 * $CAPACITY }")
+  shift
+  local seconds=$1 seed=$2
+  shift 2
+  "$BIN/vtstandin" load -ingress "$(addresses $NODE_CALLERS)" -mix-file "$ROOT/$ORG/mix.yaml" -rate "$rate" \
+    -duration "${seconds}s" -seed "$seed" -max-sends 1 -duplicates -1 "$@" >>"$OUT/load.log" 2>&1
+}
+
+# round SCENARIO POLICY ROUND runs one round at the fleet in use.
+round() {
+  local file=$ROOT/$ORG/rounds/$1.$2.$3 watch seed=$((SEED + $3))
+  drive "$WARM_SHARE" "$WARM_SECONDS" "$seed"
+  VT_TOKEN=$ADMIN_TOKEN "$BIN/vtbench" watch -scenario "$1" -seed "$seed" -duration "${ROUND_SECONDS}s" \
+    -targets "$(places)" -nodes "$(addresses $NODE_ADMIN)" -out "$file.watch.json" &
+  watch=$!
+  drive "$(share "$1")" "$ROUND_SECONDS" "$seed" -report "$file.load.json" || true
+  wait "$watch"
+}
+
+# measure ORG runs all rounds of an organisation and prints its tables.
+measure() {
+  local i scenario number
+  ORG=$1
+  mkdir -p "$ROOT/$ORG/rounds"
+  for i in "${!policies[@]}"; do start_fleet "$i" "${policies[i]}"; done
+  CAPACITY=$(awk "BEGIN { print ${#NODES[@]} * $SLOTS * 1000 / $(service_ms "$ORG") }")
+  write_mix >"$ROOT/$ORG/mix.yaml"
+  for i in "${!policies[@]}"; do
+    use_fleet "$i"
+    wait_ready
+    ctl apply "examples/$ORG/"*.yaml >>"$OUT/ctl.log" 2>&1
+    wait_ready
+    drive "$WARM_SHARE" "$START_SECONDS" "$SEED"
+  done
+  echo
+  echo "== $ORG: ${#NODES[@]} targets of $SLOTS slots, mean service time $(service_ms "$ORG") ms," \
+    "capacity $CAPACITY/s, seed $SEED, $ROUNDS rounds of ${ROUND_SECONDS}s"
+  for scenario in $SCENARIOS; do
+    for ((number = 1; number <= ROUNDS; number++)); do
+      for i in "${!policies[@]}"; do
+        use_fleet "$i"
+        round "$scenario" "${policies[i]}" "$number"
+      done
+    done
+  done
+  "$BIN/vtbench" table -dir "$ROOT/$ORG/rounds" -policies "$(IFS=,; echo "${policies[*]}")" \
+    -capacity "$CAPACITY" -slots "$SLOTS" -measuring-budget "$MEASURING_BUDGET"
+  stop_all
+}
+
+make_secrets
+for org in $ORGS; do measure "$org"; done
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,8 +8,10 @@
 readonly NODE_CALLERS=7000 NODE_HOP=7001 NODE_PEER=7002 NODE_ADMIN=7003 NODE_ANNOUNCE=7004
 readonly TARGET_PORT=8000
 # NET is the first half of all addresses, BIN where the programs are.
+# DC_OFFSET is the number before that of the first data centre in addresses.
 readonly NET=${NET:-127.0} BIN=${BIN:-bin}
-readonly PLATFORM=${PLATFORM:-$NET.0.1:9000}
+PLATFORM=${PLATFORM:-$NET.0.1:9000}
+DC_OFFSET=${DC_OFFSET:-0}
 # STOP_SECONDS bounds the planned stop of one process, in seconds.
 readonly STOP_SECONDS=40
 
@@ -43,7 +45,7 @@
       NODES+=("$name")
       SERVICE_OF[$name]=$service
       DC_OF[$name]=${DATACENTRES[dc]}
-      IP_OF[$name]=$NET.$((dc + 1)).${in_dc[dc]}
+      IP_OF[$name]=$NET.$((DC_OFFSET + dc + 1)).${in_dc[dc]}
     done
   done
 }
