--- a/process/membership/fleet_test.go
+++ b/process/membership/fleet_test.go
@@ -200,13 +200,16 @@
 
 func (f *fleet) freeze(n *fleetNode) { n.frozen = true }
 
-// thaw lets a frozen process go on. Its clock ticks before it has read what
-// waits for it.
+// thaw lets a frozen process go on. Its clock ticks, and it sees that its peers
+// closed its links, before it has read what waits for it.
 func (f *fleet) thaw(n *fleetNode) {
 	n.frozen = false
 	held := n.held
 	n.held = nil
 	f.send(n, n.table.Tick(f.now))
+	for _, peer := range n.table.Neighbours() {
+		f.send(n, n.table.LinkDown(f.now, peer))
+	}
 	for _, run := range held {
 		run()
 	}
--- a/process/membership/suspect.go
+++ b/process/membership/suspect.go
@@ -26,9 +26,16 @@
 	return now.Sub(t.lastTick) > pausedPeriods*t.opts.Period
 }
 
+// excuses reports whether a broken link may be this node's own fault: peers
+// close the links of a paused node, which learns of it when it runs again.
+func (t *Table) excuses(now time.Time) bool {
+	return t.paused(now) || now.Sub(t.resumed) < pausedPeriods*t.opts.Period
+}
+
 // forgive restarts the clocks that ran against others while this node was
 // paused: their answers may wait unread.
 func (t *Table) forgive(now time.Time) {
+	t.resumed = now
 	for _, e := range t.byID {
 		e.unanswered = time.Time{}
 		if e.Status == Suspect {
@@ -75,7 +82,7 @@
 	t.mu.Lock()
 	defer t.unlock()
 	e := t.entry(peer)
-	if e == nil || t.paused(now) {
+	if e == nil || t.excuses(now) {
 		return nil
 	}
 	if e.refuted == 0 {
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -72,6 +72,7 @@
 
 	nextRound time.Time
 	lastTick  time.Time
+	resumed   time.Time // when this node last ran again after a pause
 	turn      int
 	cursor    uint64
 	lastSync  time.Time
