--- /dev/null
+++ b/node/settings_page_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// operatorsPage is the page that tells operators of every setting.
+const operatorsPage = "../docs/OPERATORS.md"
+
+// leaves calls visit with the path and default of each setting below v.
+func leaves(prefix string, v reflect.Value, visit func(path string, value any)) {
+	for i := range v.NumField() {
+		path := prefix + v.Type().Field(i).Tag.Get("yaml")
+		if v.Field(i).Kind() == reflect.Struct {
+			leaves(path+".", v.Field(i), visit)
+			continue
+		}
+		visit(path, v.Field(i).Interface())
+	}
+}
+
+// shown is how the page writes a default. Text without default is not shown.
+func shown(value any) string {
+	switch v := value.(type) {
+	case time.Duration:
+		text := strings.TrimSuffix(v.String(), "m0s")
+		if text != v.String() {
+			text += "m"
+		}
+		return text
+	case string:
+		return v
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+// tellsDefault returns the last but one cell of a row of the page's table.
+func tellsDefault(row string) string {
+	cells := strings.Split(row, " | ")
+	return strings.Trim(cells[max(len(cells)-2, 0)], "`")
+}
+
+func TestPageTellsEverySettingAndItsDefault(t *testing.T) {
+	page, err := os.ReadFile(operatorsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Settings
+	s.complete()
+	leaves("", reflect.ValueOf(s), func(path string, value any) {
+		for line := range strings.Lines(string(page)) {
+			name, rest, _ := strings.Cut(line, " | ")
+			if strings.HasPrefix(name, "| ") && strings.Contains(name, "`"+path+"`") {
+				if got := tellsDefault(rest); value != "" && got != shown(value) {
+					t.Errorf("the page's default of %s is %q, not %q", path, got, shown(value))
+				}
+				return
+			}
+		}
+		t.Errorf("the page does not tell of the setting %s", path)
+	})
+}
