--- a/process/ownership/core.go
+++ b/process/ownership/core.go
@@ -144,8 +144,8 @@
 	return c, nil
 }
 
-// SetServices tells which services there are. Services that are gone are
-// forgotten.
+// SetServices tells which services there are. A service that is gone but has
+// claims here stays: if it came back, its first tenure would have no fence.
 func (c *Core) SetServices(specs []ServiceSpec, now Clock) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -163,6 +163,11 @@
 		s.setSpec(spec, now)
 		services[spec.ID] = s
 	}
+	for id, s := range old {
+		if services[id] == nil && s.hasClaims() {
+			services[id] = s
+		}
+	}
 	c.services.Store(&services)
 	c.order = sortedKeys(services)
 }
--- a/process/ownership/partition.go
+++ b/process/ownership/partition.go
@@ -60,12 +60,13 @@
 	c.beats.next = min(c.beats.next, now.Mono)
 }
 
-// leave ends the tenure of this process. The caller holds p.mu.
+// leave ends the tenure of this process and releases it: from here on nothing
+// more is taken on under it. The caller holds p.mu.
 func (c *Core) leave(s *service, p *partition, assigned assignment.Partition, out *Output) {
+	c.beats.release(message.Release{Service: s.id, Partition: p.number, Tenure: p.tenure})
 	handed := p.outgoing != nil && assigned.Handover != nil &&
 		assigned.Handover.Transfer == p.outgoing.transfer
 	if handed {
-		c.beats.release(message.Release{Service: s.id, Partition: p.number, Tenure: p.tenure})
 		c.spread(s, p.outgoing.to, out)
 	} else if p.outgoing != nil {
 		p.tail = nil
@@ -73,6 +74,7 @@
 	p.tenure = 0
 	p.begun = false
 	p.stopped = false
+	p.successor = ""
 	p.outgoing = nil
 }
 
--- a/process/ownership/service.go
+++ b/process/ownership/service.go
@@ -73,6 +73,19 @@
 	return nil
 }
 
+// hasClaims reports whether this process ever owned a partition.
+func (s *service) hasClaims() bool {
+	for _, p := range s.list() {
+		p.mu.Lock()
+		owned := p.table != nil
+		p.mu.Unlock()
+		if owned {
+			return true
+		}
+	}
+	return false
+}
+
 // version returns the version of the object as far as it is known.
 func (s *service) version() uint64 {
 	if v := s.view.Load(); v != nil {
