See a hanging target by the age of what runs, and pick fairly among full ones

A target that slows down 8 times fills its slots before its first late answer, and every slot that then becomes free catches one more request. And at 150% of capacity, the best score among full targets sent the nodes to the same one, while others had just got a free slot.

Change: the guard suspects a target when what runs is three times as old as usual and no answer came in the usual time. A suspected target gets its cold limit, stays warm by name, and wins back a slot with each prompt answer. Among candidates without room, one that is neither slow nor failing is drawn at random. A retry after a refusal costs a fifth of a retry after a run.

A sudden latency is expected to leave the state warm now and the limit at the cold limit; the other signs are as before.

--- a/process/admission/admit.go
+++ b/process/admission/admit.go
@@ -15,6 +15,9 @@
 	if g.ejector.over(now) {
 		g.endSpell(now)
 	}
+	if g.ramp.silent(now) && g.hang.sudden(g.meanAge(now), len(g.runs)) {
+		g.ramp.suspect(now)
+	}
 	if reason, refused := g.refuses(r, now); refused {
 		return Ticket{}, g.refusal(reason, now)
 	}
@@ -98,6 +101,7 @@
 	if r.Suspect {
 		g.suspects++
 	}
+	g.hang.learn(g.meanAge(now), len(g.runs))
 	g.began.add(now, len(g.runs))
 	g.shares.begin(r.Caller, now)
 	g.runs[g.nextID] = run{
--- a/process/admission/doc.go
+++ b/process/admission/doc.go
@@ -15,11 +15,16 @@
 //
 // A target is cold when it starts, when it returns from out or from ejection,
 // and when it turns cold again: a new instance, an answer or report that says
-// so, a request that it sheds, or latencies that suddenly are a multiple of the
-// usual. Then it gets
-// its cold limit at once. The limit grows with answers to requests that began
-// after the fall and that ran while the limit was in use. What the target
-// reports about itself can only lower a limit.
+// so, or a request that it sheds. Then it gets its cold limit at once. The
+// limit grows with answers to requests that began after the fall and that ran
+// while the limit was in use. What the target reports about itself can only
+// lower a limit.
+//
+// A target whose latencies suddenly are a multiple of the usual, or which
+// answers nothing in the usual time while what runs there gets old, is only
+// suspected: it gets its cold limit at once too, so that a slow spell catches
+// few requests, but stays warm by name, and the limit grows by one with each
+// answer in about the usual time.
 //
 // A target that fails request after request is ejected for a spell. Spells
 // double and are jittered. While ejected, the guard still admits up to the
--- a/process/admission/guard.go
+++ b/process/admission/guard.go
@@ -37,6 +37,7 @@
 
 	adaptive limit.Limit
 	ramp     ramp
+	hang     hang
 	ejector  ejector
 	shares   shares
 	report   Report
@@ -74,6 +75,7 @@
 		rng:      rng,
 		runs:     make(map[uint64]run),
 		adaptive: adaptive,
+		hang:     hang{factor: settings.HangFactor},
 		shares:   newShares(),
 		opened:   -1,
 	}, nil
@@ -248,11 +250,16 @@
 	return load.Sample{
 		InFlight: len(g.runs),
 		Limit:    g.limit(now),
-		Latency:  max(g.latency, g.began.meanAge(len(g.runs), now)),
+		Latency:  max(g.latency, g.meanAge(now)),
 		State:    g.state(now),
 	}
 }
 
+// meanAge returns how long what runs has run on average.
+func (g *Guard) meanAge(now time.Time) time.Duration {
+	return g.began.meanAge(len(g.runs), now)
+}
+
 func (g *Guard) state(now time.Time) load.State {
 	switch {
 	case !g.present:
@@ -263,7 +270,7 @@
 		return load.Out
 	case g.ejector.ejecting && !g.ejector.over(now):
 		return load.Ejected
-	case g.ejector.ejecting || g.ramp.cold:
+	case g.ejector.ejecting || g.ramp.knownCold():
 		return load.Cold
 	default:
 		return load.Warm
--- a/process/admission/ramp.go
+++ b/process/admission/ramp.go
@@ -16,6 +16,8 @@
 	// slowAllowance is added to the bound of a slow answer, so that tiny
 	// latencies don't count as slow.
 	slowAllowance = 2 * time.Millisecond
+	// promptFactor is how many times the usual latency is about usual.
+	promptFactor = 2
 	// usualShare is the weight of one answer in the usual latency.
 	usualShare = 0.02
 )
@@ -39,6 +41,8 @@
 	// usual is the usual latency of the warm target.
 	usual time.Duration
 	slow  int
+	// promptAt is when a request was last answered in about the usual time.
+	promptAt time.Time
 }
 
 func newRamp(floor, ceiling int, now time.Time) ramp {
@@ -46,6 +50,9 @@
 	return ramp{limit: floor, cold: true, pace: 1, floor: floor, ceiling: max(ceiling, 1), fellAt: now}
 }
 
+// knownCold reports whether the target is cold by more than a suspicion.
+func (r *ramp) knownCold() bool { return r.cold && !r.quick }
+
 // fall puts the limit to the floor.
 func (r *ramp) fall(now time.Time) {
 	r.limit = r.floor
@@ -70,7 +77,13 @@
 // admitted, with itself; inUse is the limit that was in force.
 func (r *ramp) answered(began, now time.Time, peers, inUse int, slowFactor float64) {
 	latency := now.Sub(began)
+	if latency <= promptFactor*r.usual {
+		r.promptAt = now
+	}
 	if r.tooSlow(latency, slowFactor) {
+		if began.Before(r.fellAt) {
+			return
+		}
 		r.slow++
 		if r.slow >= slowStreak {
 			r.suspect(now)
@@ -100,6 +113,12 @@
 	}
 }
 
+// silent reports whether nothing was answered in about the usual time for as
+// long as that.
+func (r *ramp) silent(now time.Time) bool {
+	return now.Sub(r.promptAt) > r.usual
+}
+
 // suspect falls because of latency alone. A target that is known to be cold
 // still has to prove itself slowly.
 func (r *ramp) suspect(now time.Time) {
--- a/process/admission/settings.go
+++ b/process/admission/settings.go
@@ -13,12 +13,15 @@
 	// SlowFactor is how many times the usual latency means that the target
 	// has turned cold. Zero turns this off.
 	SlowFactor float64
+	// HangFactor is how many times the usual mean age of what runs means that
+	// the target has suddenly become slow. Zero turns this off.
+	HangFactor float64
 	// OpeningAtOnce is how many connections may be opening at the same time.
 	OpeningAtOnce int
 }
 
 // DefaultSettings suits targets whose service takes milliseconds.
-var DefaultSettings = Settings{Limit: limit.Default, SlowFactor: 4, OpeningAtOnce: 4}
+var DefaultSettings = Settings{Limit: limit.Default, SlowFactor: 4, HangFactor: 3, OpeningAtOnce: 4}
 
 const (
 	// latencyShare is the weight of one answer in the moving average.
--- a/request/balance/scored.go
+++ b/request/balance/scored.go
@@ -44,6 +44,10 @@
 	if cold, ok := c.coldTurn(considered); room && ok {
 		return cold
 	}
+	if !room {
+		considered = c.notSlow(considered)
+		return considered[c.Rand.IntN(len(considered))]
+	}
 	c.draw(considered, choices)
 	drawn := considered[:min(choices, len(considered))]
 	best, bestScore := drawn[0], p.final(c, drawn[0])
@@ -151,6 +155,23 @@
 	return kept, true
 }
 
+// notSlow narrows the considered candidates to those that are not slow and
+// don't fail. If there are none, it returns all.
+func (c *Choice) notSlow(considered []int) []int {
+	slow := c.slowBound(considered)
+	kept := considered[:0]
+	for _, i := range considered {
+		candidate := &c.Candidates[i]
+		if candidate.Latency <= slow && candidate.FailureShare < failing {
+			kept = append(kept, i)
+		}
+	}
+	if len(kept) == 0 {
+		return considered
+	}
+	return kept
+}
+
 // slowBound returns the latency above which a candidate is slow.
 func (c *Choice) slowBound(considered []int) time.Duration {
 	sum := 0.0
--- a/request/retry.go
+++ b/request/retry.go
@@ -24,13 +24,13 @@
 	retryCostRun = 1.0
 	// retryCostRefused is the price of a retry after a refusal, which cost a
 	// hop between nodes and no target's work.
-	retryCostRefused = 0.25
+	retryCostRefused = 0.2
 )
 
 // RetryBudget bounds further attempts so that they can't amplify an
-// overload: over any time, the retries allowed after unknown ends plus a
-// quarter of those after refusals are at most the burst, plus the share of
-// the answers, plus the floor.
+// overload: over any time, the retries allowed after unknown ends plus a fifth
+// of those after refusals are at most the burst, plus the share of the
+// answers, plus the floor.
 type RetryBudget struct {
 	mu     sync.Mutex
 	share  float64
