--- a/process/membership/apply.go
+++ b/process/membership/apply.go
@@ -115,6 +115,7 @@
 func (t *Table) applyContent(now time.Time, e *entry, m Member) bool {
 	t.applyVersion(now, e, m.ConfigVersion)
 	if m.Sequence <= e.Sequence {
+		t.heardRecord(e, m)
 		return false
 	}
 	t.change(now, e, func(old *Member) {
@@ -127,8 +128,18 @@
 	return true
 }
 
+// heardRecord notes a record that tells nothing new.
+func (t *Table) heardRecord(e *entry, m Member) {
+	if m.Sequence == e.Sequence {
+		t.news.heard(newsKey{newsRecord, e.id}, t.maxSends())
+	}
+}
+
 // applyVersion takes in a configuration version of a member.
 func (t *Table) applyVersion(now time.Time, e *entry, version uint64) {
+	if version == e.ConfigVersion {
+		t.versions.heard(newsKey{newsVersion, e.id}, maxVersionSends)
+	}
 	if version <= e.ConfigVersion {
 		return
 	}
@@ -161,6 +172,7 @@
 		t.contradict(now, from, e)
 		return false
 	default:
+		t.heardLiveness(e, l.Refutations, status)
 		return false
 	}
 	t.change(now, e, func(old *Member) {
@@ -171,6 +183,13 @@
 	return true
 }
 
+// heardLiveness notes news of a life that tells nothing new.
+func (t *Table) heardLiveness(e *entry, refutations uint64, status Status) {
+	if refutations == e.Refutations && status == e.liveness().Status {
+		t.news.heard(newsKey{newsLiveness, e.id}, t.maxSends())
+	}
+}
+
 // wantUnknown asks the sender for a record that this node lacks.
 func (t *Table) wantUnknown(from, e *entry, l Liveness) {
 	lacks := e == nil || e.Incarnation < l.Incarnation
--- a/process/membership/rumour.go
+++ b/process/membership/rumour.go
@@ -104,6 +104,7 @@
 	key := r.Rumour.key()
 	isNew, forgotten := t.rumours.add(key, r)
 	if !isNew {
+		t.news.heard(newsKey{newsRumour, key}, t.maxSends())
 		return false
 	}
 	t.news.drop(newsKey{newsRumour, forgotten})
--- a/process/membership/spread.go
+++ b/process/membership/spread.go
@@ -24,82 +24,104 @@
 	id uint64
 }
 
-// slot is an item of a queue. It is void when the key was pushed again later.
+// slot is an item of a queue. It is void when the key has moved on since.
 type slot struct {
 	key   newsKey
 	stamp uint64
 }
 
-// spread holds news that travels with the heartbeats, each piece a bounded
-// number of times. Pieces that were sent least often go first.
+// progress is where a piece of news stands.
+type progress struct {
+	stamp uint64
+	// count is how often the piece was sent, or heard of again.
+	count int
+}
+
+// spread holds news that travels with the heartbeats. A piece is dropped when
+// it was sent, or heard from others, a bounded number of times: then the others
+// know. Pieces with the lowest count go first.
 type spread struct {
-	// levels holds the pieces by how often they were sent.
+	// levels holds the pieces by their count.
 	levels [][]slot
-	stamps map[newsKey]uint64
+	pieces map[newsKey]progress
 	next   uint64
 }
 
 // push has a piece of news sent anew. Its memory is bounded by the number of
 // members and rumours, since a key is held once.
 func (s *spread) push(key newsKey) {
-	if s.stamps == nil {
-		s.stamps = make(map[newsKey]uint64)
-	}
-	s.next++
-	s.stamps[key] = s.next
-	s.put(0, slot{key: key, stamp: s.next})
+	s.put(key, 0)
 }
 
-func (s *spread) put(level int, item slot) {
-	for len(s.levels) <= level {
+// put queues a piece with a count.
+func (s *spread) put(key newsKey, count int) {
+	if s.pieces == nil {
+		s.pieces = make(map[newsKey]progress)
+	}
+	s.next++
+	s.pieces[key] = progress{stamp: s.next, count: count}
+	for len(s.levels) <= count {
 		s.levels = append(s.levels, nil)
 	}
-	if len(s.levels[level]) > 2*len(s.stamps)+minCompact {
-		s.levels[level] = slices.DeleteFunc(s.levels[level], s.void)
+	if len(s.levels[count]) > 2*len(s.pieces)+minCompact {
+		s.levels[count] = slices.DeleteFunc(s.levels[count], s.void)
 	}
-	s.levels[level] = append(s.levels[level], item)
+	s.levels[count] = append(s.levels[count], slot{key: key, stamp: s.next})
 }
 
-// void reports whether an item was dropped or pushed again.
+// void reports whether an item was dropped or has moved on.
 func (s *spread) void(item slot) bool {
-	return s.stamps[item.key] != item.stamp
+	return s.pieces[item.key].stamp != item.stamp
 }
 
 // drop takes a piece of news out.
 func (s *spread) drop(key newsKey) {
-	delete(s.stamps, key)
+	delete(s.pieces, key)
 }
 
-// take offers pieces to use, those sent least often first, until use returns
-// false. A piece that was used limit times is dropped.
+// heard notes that another node passed a piece on that this node knows.
+func (s *spread) heard(key newsKey, limit int) {
+	if p, ok := s.pieces[key]; ok {
+		s.advance(key, p.count+1, limit)
+	}
+}
+
+// advance moves a piece to a count, and drops it at the limit.
+func (s *spread) advance(key newsKey, count, limit int) {
+	if count >= limit {
+		s.drop(key)
+		return
+	}
+	s.put(key, count)
+}
+
+// take offers pieces to use, those with the lowest count first, until use
+// returns false.
 func (s *spread) take(limit int, use func(newsKey) bool) {
-	var sent []slot
-	var levels []int
-	for level := range s.levels {
-		queue := s.levels[level]
-		for len(queue) > 0 {
-			item := queue[0]
-			if s.void(item) {
-				queue = queue[1:]
-				continue
-			}
+	var sent []newsKey
+	full := false
+	for count := 0; count < len(s.levels) && !full; count++ {
+		sent, full = s.takeLevel(count, sent, use)
+	}
+	for _, key := range sent {
+		s.advance(key, s.pieces[key].count+1, limit)
+	}
+}
+
+// takeLevel offers the pieces of one count. It returns the pieces used so far,
+// and whether use has had enough.
+func (s *spread) takeLevel(count int, sent []newsKey, use func(newsKey) bool) ([]newsKey, bool) {
+	queue := s.levels[count]
+	defer func() { s.levels[count] = queue }()
+	for len(queue) > 0 {
+		item := queue[0]
+		if !s.void(item) {
 			if !use(item.key) {
-				break
+				return sent, true
 			}
-			queue = queue[1:]
-			sent = append(sent, item)
-			levels = append(levels, level+1)
-		}
-		s.levels[level] = queue
-		if len(queue) > 0 {
-			break
-		}
-	}
-	for i, item := range sent {
-		if levels[i] >= limit {
-			s.drop(item.key)
-			continue
+			sent = append(sent, item.key)
 		}
-		s.put(levels[i], item)
+		queue = queue[1:]
 	}
+	return sent, false
 }
