Give up runs at a former owner that is gone

After a planned handover the successor answers "in progress" for runs that go on at its predecessor. If that node died before it told their ends, callers were held until the resend window was over. The successor now makes these ends unknown once membership says that the predecessor's process is gone; that is never run again, so the promise doesn't depend on membership being right.

--- a/process/ownership/claim/table.go
+++ b/process/ownership/claim/table.go
@@ -53,6 +53,8 @@
 	Entry
 	// wait is closed when the run ends. It is made when somebody waits.
 	wait chan struct{}
+	// imported is true for a run at another node.
+	imported bool
 	// position is the index in the heap.
 	position int
 }
@@ -168,11 +170,22 @@
 	answer := entry.Answer
 	entry.Answer = nil
 	s := t.put(entry)
+	s.imported = true
 	if answer != nil {
 		t.keep(s, answer)
 	}
 }
 
+// LoseImported makes the ends of all imported runs unknown, since the node
+// that would tell them is gone.
+func (t *Table) LoseImported() {
+	for _, s := range t.slots {
+		if s.imported {
+			t.Finish(s.Key, s.ID, Unknown, nil)
+		}
+	}
+}
+
 // Entries returns all claims, those with the oldest answers first, so that an
 // import drops the oldest ones at the limit.
 func (t *Table) Entries() []Entry {
--- a/process/ownership/claim/table_test.go
+++ b/process/ownership/claim/table_test.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// TestLoseImported shows that only runs at another node are lost with it.
+func TestLoseImported(t *testing.T) {
+	table := NewTable(Limits{Claims: 8, AnswerBytes: 8}, 0)
+	table.Claim("own", time.Unix(9, 0))
+	table.Import(Entry{Key: "runs", ID: 70, State: Running, Expires: time.Unix(9, 0)})
+	table.Import(Entry{Key: "done", ID: 71, State: Done, Expires: time.Unix(9, 0)})
+	table.LoseImported()
+	for key, want := range map[string]State{"own": Running, "runs": Unknown, "done": Done} {
+		if entry, _ := table.Look(key); entry.State != want {
+			t.Errorf("%s: state %d, want %d", key, entry.State, want)
+		}
+	}
+}
+
 // TestLateEndOfAnotherRun shows that the end of an aborted run doesn't end the
 // next run of its key.
 func TestLateEndOfAnotherRun(t *testing.T) {
--- a/process/ownership/handover.go
+++ b/process/ownership/handover.go
@@ -185,6 +185,7 @@
 
 func (c *Core) driveHandover(s *service, p *partition, now Clock, out *Output) {
 	p.expire(now.Wall)
+	c.watchSource(p)
 	if p.tail != nil && now.Mono >= p.tail.sent+resendAfter {
 		p.tail.sent = now.Mono
 		p.sendTail(s, false, out)
--- a/process/ownership/incoming.go
+++ b/process/ownership/incoming.go
@@ -80,19 +80,19 @@
 }
 
 // adopt takes over the claims of the transfer that the object names, with the
-// predecessor's fence. Without one the fence of a takeover applies. The caller
-// holds p.mu.
-func (p *partition) adopt(named *assignment.Handover, without rule.Set) {
+// predecessor's fence, and reports true. Without one the fence of a takeover
+// applies. The caller holds p.mu.
+func (p *partition) adopt(named *assignment.Handover, without rule.Set) bool {
 	in := p.incoming
 	if in == nil {
-		return
+		return false
 	}
 	matches := named != nil && in.complete && in.transfer == named.Transfer && in.from == named.From
 	if without.Has(rule.HandoverMatch) {
 		matches = true
 	}
 	if !matches {
-		return
+		return false
 	}
 	p.incoming = nil
 	for _, entry := range in.table.Entries() {
@@ -103,10 +103,25 @@
 	p.fence = in.fence
 	if without.Has(rule.HandoverFence) {
 		p.fence = fence.Fence{}
-		return
+		return named != nil
 	}
 	// The predecessor forgot claims of keys older than its resend window.
 	p.fenceBefore(in.received.Add(-in.window))
+	return named != nil
+}
+
+// watchSource gives up the ends of runs at a former owner that is gone. The
+// caller holds p.mu.
+func (c *Core) watchSource(p *partition) {
+	if p.source == "" {
+		return
+	}
+	m := c.members[p.source]
+	if m.Alive && m.Incarnation == p.sourceLife {
+		return
+	}
+	p.source = ""
+	p.table.LoseImported()
 }
 
 // dropStale forgets a transfer that the object can't name any more. The caller
--- a/process/ownership/partition.go
+++ b/process/ownership/partition.go
@@ -37,6 +37,10 @@
 	// outgoing is the transfer to the successor, incoming one that arrives.
 	outgoing *outgoing
 	incoming *incoming
+	// source is the former owner that still tells the ends of runs which it
+	// handed over, and sourceLife its incarnation.
+	source     string
+	sourceLife uint64
 	// tail forwards the ends of runs that were going on at a handover.
 	tail *tail
 }
@@ -56,7 +60,10 @@
 	if p.table == nil {
 		p.table = claim.NewTable(c.limits, c.incarnation)
 	}
-	p.adopt(assigned.Handover, c.without)
+	if p.adopt(assigned.Handover, c.without) {
+		p.source = assigned.Handover.From
+		p.sourceLife = c.members[p.source].Incarnation
+	}
 	c.beats.next = min(c.beats.next, now.Mono)
 }
 
