Count the age of the oracle's truth from its answer

Cause: the age counted from the question, so that after an answer that took long the next candidate of the same pick asked again; on a busy machine each pick waited for several questions under the lock of its service.

--- a/node/oracle.go
+++ b/node/oracle.go
@@ -67,13 +67,13 @@
 // ask learns the load of all targets. Without an answer in time, what was
 // known before stays.
 func (o *oracle) ask() {
-	o.at = time.Now()
+	defer func() { o.at = time.Now() }()
 	o.number++
 	number := strconv.Itoa(o.number)
 	if _, err := o.conn.Write([]byte(oracleQuestion + number)); err != nil {
 		return
 	}
-	_ = o.conn.SetReadDeadline(o.at.Add(oracleTimeout))
+	_ = o.conn.SetReadDeadline(time.Now().Add(oracleTimeout))
 	for {
 		headers, err := o.read()
 		if err != nil {
