Tell in the load's report why a guard or an owner refused

A trial with a killed node gave 470 sends refused with "target takes no request", which is the title of eleven reasons. For the steps admit and claim, whose details are of a fixed set, the report now names the detail.

Nothing measured.

--- a/internal/standin/load/sender.go
+++ b/internal/standin/load/sender.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -160,9 +161,16 @@
 	if json.Unmarshal(body, &failure) != nil || failure.Step == "" {
 		return fmt.Sprintf("status %d", status)
 	}
+	if slices.Contains(reasonSteps, failure.Step) {
+		return fmt.Sprintf("status %d at %s: %s, %s", status, failure.Step, failure.Title, failure.Detail)
+	}
 	return fmt.Sprintf("status %d at %s: %s", status, failure.Step, failure.Title)
 }
 
+// reasonSteps are the steps whose details are of a fixed set, and so tell
+// reasons apart.
+var reasonSteps = []string{"admit", "claim"}
+
 // outcome reads what a failure tells. One that tells nothing is unknown.
 func outcome(response *http.Response) result {
 	switch request.Outcome(response.Header.Get(request.HeaderOutcome)) {
