Let a node without configuration say come back, and owners' hops be tried again

Cause: a node that had just started answered callers 421 "no route", and hops 404 "service unknown", until the configuration reached it. The 404 of an owner's hop went to the caller as its final answer.

Change: the ingress answers 503, not-run, with Retry-After; the hop refuses with 503, not-run, since the sender found service and route in its own configuration; the owner's router tries again as when the hop failed; a peer's version 0 tells nothing. Guards' hops were tried elsewhere already.

Each of the four was taken out in turn (by go test -overlay with the file as it was): the spec of "a node without configuration yet" that is about it failed.

Nothing measured.

--- a/node/config.go
+++ b/node/config.go
@@ -95,9 +95,10 @@
 	c.peerHeard.Store(true)
 }
 
-// heard notes that a peer told its version.
+// heard notes that a peer told its version. A peer without any may have just
+// started as well.
 func (c *configuration) heard(number uint64) {
-	if number <= c.store.Version() {
+	if number > 0 && number <= c.store.Version() {
 		c.peerHeard.Store(true)
 	}
 }
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -79,21 +79,27 @@
 	res.answer.writeTo(w)
 }
 
-// readOrder reads the order that another node sent.
+// stepReadHop is the step at which a node refuses what it can't read, or what
+// its configuration doesn't know.
+const stepReadHop = "read hop"
+
+// readOrder reads the order that another node sent. A service or route that
+// this node doesn't know is one that it doesn't know yet, since the sender
+// found it in its own configuration: the refusal is a passing one.
 func (s *hopServer) readOrder(r *http.Request) (*order, *request.Failure) {
 	refuse := func(status int, title string, err error) *request.Failure {
-		return newFailure(status, request.NotRun, "read hop", s.self, title, err)
+		return newFailure(status, request.NotRun, stepReadHop, s.self, title, err)
 	}
 	h := r.Header
 	service := s.snapshot().Service(version.ServiceID(h.Get(request.HeaderService)))
 	if service == nil {
-		return nil, refuse(http.StatusNotFound, "service unknown",
-			errors.Errorf("no service %q in version %d", h.Get(request.HeaderService), s.snapshot().Version()))
+		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "service unknown",
+			errors.Errorf("no service %q in version %d", h.Get(request.HeaderService), s.snapshot().Version())), configRetryAfter)
 	}
 	route := service.RouteNamed(h.Get(request.HeaderRoute))
 	if route == nil {
-		return nil, refuse(http.StatusNotFound, "route unknown",
-			errors.Errorf("service %s has no route %q", service.ID, h.Get(request.HeaderRoute)))
+		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "route unknown",
+			errors.Errorf("service %s has no route %q", service.ID, h.Get(request.HeaderRoute))), configRetryAfter)
 	}
 	deadline, err := request.NewDeadline(time.Now(), h.Get(request.HeaderTimeout), request.MaxTimeout)
 	if err != nil {
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -15,6 +15,10 @@
 	"verbenatrestle/version"
 )
 
+// configRetryAfter is when a caller may come back whose request found a node
+// that doesn't know the configuration yet.
+const configRetryAfter = time.Second
+
 // ingress answers callers.
 type ingress struct {
 	self       string
@@ -90,7 +94,12 @@
 
 // readOrder routes the request and reads it whole.
 func (g *ingress) readOrder(w http.ResponseWriter, r *http.Request, now time.Time) (*order, *request.Failure) {
-	service, route, err := g.snapshot().Route(r.Host, r.Method, r.URL.Path)
+	snapshot := g.snapshot()
+	service, route, err := snapshot.Route(r.Host, r.Method, r.URL.Path)
+	if err != nil && snapshot.Version() == 0 {
+		f := g.refusal(http.StatusServiceUnavailable, "route", "no configuration yet", err)
+		return nil, withRetryAfter(f, configRetryAfter)
+	}
 	if err != nil {
 		return nil, g.refusal(routeStatus(w, err), "route", "no route", err)
 	}
--- a/node/ownerrouter.go
+++ b/node/ownerrouter.go
@@ -71,9 +71,14 @@
 	return res.failure != nil && res.failure.Step == stepClaim && res.failure.Status == http.StatusMisdirectedRequest
 }
 
-// unreached reports whether the hop to the owner failed.
+// unreached reports whether the hop to the owner failed, or the node there
+// doesn't know the service yet.
 func unreached(res *result) bool {
-	return res.failure != nil && res.failure.Step == stepOwner
+	if res.failure == nil {
+		return false
+	}
+	unconfigured := res.failure.Step == stepReadHop && res.failure.Status == http.StatusServiceUnavailable
+	return res.failure.Step == stepOwner || unconfigured
 }
 
 // forCaller makes a failure at the owner one that means something to callers.
--- /dev/null
+++ b/node/unconfigured_test.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+	"verbenatrestle/version"
+)
+
+var _ = Describe("a node without configuration yet", func() {
+	empty := func() *version.Snapshot { return version.NewSnapshot(0, time.Time{}, nil, nil, nil) }
+
+	It("tells callers to come back", func() {
+		p := newPath(echo)
+		p.ingress.snapshot = empty
+		status, header, _ := p.get("/s/x")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(header.Get(request.HeaderOutcome)).To(Equal(string(request.NotRun)))
+		Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(p.runs.Load()).To(BeZero())
+	})
+
+	It("refuses hops, which are tried elsewhere or again", func() {
+		p := newPath(echo)
+		hop := &hopServer{self: "o", key: testPeerKey, snapshot: empty, owner: p.guards["n0"], guard: p.guards["n0"]}
+		asked := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked++
+			if asked == 2 {
+				hop.snapshot = p.ingress.snapshot
+			}
+			hop.ServeHTTP(w, r)
+		}))
+		DeferCleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		hops := newHopClient(HopHTTP1, testPeerKey, func(string) (string, bool) { return address, true })
+		first := (&guardRouter{hops: hops}).call(context.Background(), "o", newTestOrder(p))
+		Expect(first.kind).To(Equal(balance.Refused))
+		Expect(first.notRun()).To(BeTrue())
+		asked = 0
+		hop.snapshot = empty
+		router := &ownerRouter{
+			self:     "i",
+			ownerOf:  func(string, string) (string, bool) { return "o", true },
+			answered: func(string, string) {},
+			failed:   func(string, string) {},
+			hops:     hops,
+			metrics:  newRequestMetrics(metrics.NewRegistry()),
+		}
+		res := router.route(context.Background(), newTestOrder(p))
+		Expect(res.failure).To(BeNil())
+		Expect(res.answer.status).To(Equal(http.StatusOK))
+		Expect(p.runs.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("is not told what operators want by a peer without configuration", func() {
+		c := newConfiguration("n", nil, nil, time.Second)
+		c.heard(0)
+		Expect(c.known(false, time.Now())).To(BeFalse())
+	})
+})
+
+// newTestOrder returns a filing of the test service.
+func newTestOrder(p *path) *order {
+	deadline, err := request.NewDeadline(time.Now(), "", 5*time.Second)
+	Expect(err).NotTo(HaveOccurred())
+	s := p.ingress.snapshot().Service("org/s")
+	return &order{id: "r", service: s, route: s.RouteNamed("file"), method: "POST", uri: "/s/entries",
+		header: http.Header{}, key: "k", deadline: deadline}
+}
