Read ownership objects as they are, not from a stale read

A witness that restarts reads the object to learn the highest tenure and epoch that it may have acknowledged before. The platform's plain reads may be stale; from a stale one the witness would take too low a floor and could give a former owner its majority back. The runner now reads by a conditional write of a version that no object has: the platform refuses it and shows the object as it is. It counts as a write call; it is made once per service and restart of a witness, and after a write whose end is unknown.

--- a/process/ownership/calls.go
+++ b/process/ownership/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -28,6 +29,8 @@
 	// firstWatchBackoff and lastWatchBackoff bound the pause after a failed watch.
 	firstWatchBackoff = 2 * time.Second
 	lastWatchBackoff  = 20 * time.Second
+	// noVersion is a version that no object has.
+	noVersion = math.MaxInt64
 )
 
 // call queues the platform calls of an output.
@@ -93,13 +96,20 @@
 	r.do(out)
 }
 
-// read reads an object for the core.
+// read reads an object for the core. A witness must not be told an older state
+// than it acknowledged beats under in a former life, so it is no plain read,
+// which may be stale: it is a conditional write that the platform must refuse,
+// with the object as it is now.
 func (r *Runner) read(service string) {
 	ctx, cancel := context.WithTimeout(r.ctx, callTimeout)
 	defer cancel()
-	object, err := r.platform.Get(ctx, assignment.Key(service))
+	key := assignment.Key(service)
+	object, conflict, err := r.platform.Put(ctx, key, nil, noVersion)
+	if err == nil && !conflict {
+		err = errors.New("platform did not refuse a write of a version that can't be")
+	}
 	if err != nil {
-		r.warn("read ownership", errors.Wrapf(err, "read %s", assignment.Key(service)))
+		r.warn("read ownership", errors.Wrapf(err, "read %s", key))
 		r.readFailed(service)
 		return
 	}
--- a/process/ownership/core.go
+++ b/process/ownership/core.go
@@ -46,8 +46,8 @@
 	Messages []wire.Envelope
 	// Proposals are conditional writes; their ends are told by Settle.
 	Proposals []Proposal
-	// Reads are services whose objects are to be read from the platform; the
-	// objects are told by Read.
+	// Reads are services whose objects are to be read from the platform as they
+	// are now, not as a stale read shows them; the objects are told by Read.
 	Reads []string
 }
 
--- a/process/ownership/internal/rule/rule.go
+++ b/process/ownership/internal/rule/rule.go
@@ -21,6 +21,8 @@
 	WitnessAbstain
 	// WitnessRead: a witness that has started reads the object first.
 	WitnessRead
+	// CurrentRead: that read shows the object as it is, not a stale state.
+	CurrentRead
 	// JointWitnesses: while witnesses change, a lease needs both sets.
 	JointWitnesses
 	// SealFirst: the former set is dropped only after it was sealed for a term.
