Blame crashes by what explains most of them

Cause: a request that a node marks as a suspect was convicted at a crash even if the node had not heard of the first crash yet. If the crasher, unmarked, and an innocent, marked, were in flight together, the innocent was quarantined. The property test did not see it, since its requests were marked by the guard's own knowledge alone. And an innocent in a crash of each of two crashers was quarantined for the whole spell, and the second crasher needed three crashes.

Ruled out: to run suspects alone on a target, since that empties the target for each of them.

Change: verdicts follow from the recorded crashes alone. The request in most unexplained crashes, at least two, is blamed; if several are blamed alike, they stay suspects. The test's requests are marked by any node's knowledge.

Conclusion: with one crasher, no innocent is quarantined, however late nodes hear of crashes. With two at once, one may be, until a further crash.

--- a/request/quarantine/doc.go
+++ b/request/quarantine/doc.go
@@ -3,10 +3,12 @@
 // The node beside a crashed target records the crash with every request that
 // was in flight there. From then on each of them is a suspect on every node:
 // a guard runs at most one suspect at a time. A suspect that completes is
-// cleared. A crash with exactly one suspect among its requests convicts that
-// suspect: it is quarantined for a spell, and so is refused everywhere. The
-// requests that were in flight beside it, at either crash, are suspects no
-// longer, since the crash is explained.
+// cleared. A request that alone was in flight at two crashes is quarantined for
+// a spell, which means that it is refused everywhere. The requests that were in
+// flight beside it, at either crash, are suspects no longer, since the crashes
+// are explained. If several requests were in flight at the same crashes, they
+// stay suspects, and run one at a time, until one of them is in a crash without
+// the others.
 //
 // What a node believes follows from the set of crashes and clears alone. Nodes
 // exchange both, in any order and any number of times, and come to the same
@@ -17,7 +19,7 @@
 // needs one more crash; the oldest clear is dropped, so a suspect stays one
 // until its spell ends.
 //
-// A known limit: if a suspect that is innocent runs beside a first-time
-// crasher, and they crash the target together, the suspect is convicted for
-// the spell. The crasher then needs two more crashes.
+// A known limit: if two requests cause crashes at the same time, an innocent
+// one may be in a crash of each, and is quarantined until a further crash of
+// either shows that it was not the cause, or for the spell.
 package quarantine
--- a/request/quarantine/judge.go
+++ b/request/quarantine/judge.go
@@ -1,80 +1,66 @@
 package quarantine
 
-import "verbenatrestle/request"
+import (
+	"slices"
 
-// judgement works out the verdicts that follow from crashes in their order.
+	"verbenatrestle/request"
+)
+
+// judgement works out the verdicts that follow from a set of crashes.
 type judgement struct {
 	spell int64 // milliseconds
 	skew  int64 // milliseconds
 	// clears holds when a fingerprint last completed.
 	clears map[request.Fingerprint]int64
-	// earlier holds the crashes that a fingerprint was in.
-	earlier map[request.Fingerprint][]*Crash
-	// explained holds the crasher of a crash.
-	explained map[*Crash]request.Fingerprint
-	rulings   map[request.Fingerprint]ruling
+	// open holds the crashes of a fingerprint that nothing explains, by time.
+	open    map[request.Fingerprint][]*Crash
+	rulings map[request.Fingerprint]ruling
 }
 
+// judge takes the crashes by time. Again and again, it blames the fingerprint
+// that is in most of the unexplained crashes, at least two; among equals, the
+// one whose latest crash is later. That explains these crashes. If several
+// fingerprints are blamed alike, it is one of them: they stay suspects, and
+// the crashes are explained all the same. What is left of a fingerprint's
+// crashes then makes it a suspect.
+//
+// If one fingerprint alone causes crashes, it is in all of them. So nothing
+// else is ever blamed for more crashes, and no innocent is quarantined.
 func judge(crashes []*Crash, clears map[request.Fingerprint]int64, s Settings) map[request.Fingerprint]ruling {
 	j := &judgement{
-		spell:     s.Spell.Milliseconds(),
-		skew:      s.Skew.Milliseconds(),
-		clears:    clears,
-		earlier:   make(map[request.Fingerprint][]*Crash),
-		explained: make(map[*Crash]request.Fingerprint),
-		rulings:   make(map[request.Fingerprint]ruling),
-	}
-	for _, crash := range crashes {
-		j.try(crash)
-	}
-	for _, crash := range crashes {
-		j.suspect(crash)
-	}
-	return j.rulings
-}
-
-// try convicts the only suspect among a crash's requests, if there is just one.
-func (j *judgement) try(crash *Crash) {
-	var suspects []request.Fingerprint
-	for _, r := range crash.Running {
-		if j.suspected(r, crash) {
-			suspects = append(suspects, r.Fingerprint)
-		}
-		j.earlier[r.Fingerprint] = append(j.earlier[r.Fingerprint], crash)
+		spell:   s.Spell.Milliseconds(),
+		skew:    s.Skew.Milliseconds(),
+		clears:  clears,
+		open:    make(map[request.Fingerprint][]*Crash),
+		rulings: make(map[request.Fingerprint]ruling),
 	}
-	if len(suspects) != 1 {
-		return
+	j.gather(crashes)
+	for blamed := j.blame(); len(blamed) > 0; blamed = j.blame() {
+		j.rule(blamed)
 	}
-	crasher := suspects[0]
-	for _, c := range j.earlier[crasher] {
-		if j.counts(c, crasher) {
-			j.explained[c] = crasher
+	for f, open := range j.open {
+		if len(open) > 0 {
+			j.suspect(f, open)
 		}
 	}
-	j.explained[crash] = crasher
-	j.rulings[crasher] = ruling{verdict: Quarantined, until: crash.AtMillis + j.spell}
+	return j.rulings
 }
 
-// suspected reports whether a request was a suspect when it was in a crash.
-func (j *judgement) suspected(r Running, crash *Crash) bool {
-	if r.Suspect && !j.cleared(r.Fingerprint, crash) {
-		return true
-	}
-	for _, c := range j.earlier[r.Fingerprint] {
-		if crash.AtMillis-c.AtMillis <= j.spell && j.counts(c, r.Fingerprint) {
-			return true
+// gather notes the crashes that speak against each fingerprint: those within
+// a spell of its latest, after its latest completion.
+func (j *judgement) gather(crashes []*Crash) {
+	for _, c := range slices.Backward(crashes) {
+		for _, r := range c.Running {
+			open := j.open[r.Fingerprint]
+			if j.cleared(r.Fingerprint, c) || len(open) > 0 && open[0].AtMillis-c.AtMillis > j.spell {
+				continue
+			}
+			j.open[r.Fingerprint] = append(open, c)
 		}
 	}
-	return false
-}
-
-// counts reports whether a crash speaks against one of its requests.
-func (j *judgement) counts(c *Crash, f request.Fingerprint) bool {
-	crasher, explained := j.explained[c]
-	if explained && crasher != f {
-		return false
+	for _, open := range j.open {
+		slices.Reverse(open)
 	}
-	return !j.cleared(f, c)
 }
 
 // cleared reports whether the request completed after the crash. A time
@@ -84,17 +70,61 @@
 	return ok && at+j.skew >= c.AtMillis
 }
 
-// suspect rules on the requests of a crash that nothing explains.
-func (j *judgement) suspect(crash *Crash) {
-	for _, r := range crash.Running {
-		if !j.counts(crash, r.Fingerprint) {
+// blame returns the fingerprints that are in most of the unexplained crashes.
+func (j *judgement) blame() []request.Fingerprint {
+	var blamed []request.Fingerprint
+	var worst []*Crash
+	for f, open := range j.open {
+		if len(open) < 2 {
 			continue
 		}
-		known := j.rulings[r.Fingerprint]
-		if known.verdict == Quarantined {
+		order := compareBlame(open, worst)
+		if order > 0 {
+			blamed = blamed[:0]
+			worst = open
+		}
+		if order >= 0 {
+			blamed = append(blamed, f)
+		}
+	}
+	return blamed
+}
+
+// compareBlame orders by the number of crashes, then by the latest one.
+func compareBlame(a, b []*Crash) int {
+	if len(a) != len(b) {
+		return len(a) - len(b)
+	}
+	return compareCrashes(a[len(a)-1], b[len(b)-1])
+}
+
+// rule quarantines what alone is blamed, makes suspects of what is blamed
+// with others, and explains the crashes.
+func (j *judgement) rule(blamed []request.Fingerprint) {
+	explained := make(map[*Crash]bool)
+	for _, f := range blamed {
+		open := j.open[f]
+		for _, c := range open {
+			explained[c] = true
+		}
+		if len(blamed) > 1 {
+			j.suspect(f, open)
 			continue
 		}
-		until := max(known.until, crash.AtMillis+j.spell)
-		j.rulings[r.Fingerprint] = ruling{verdict: Suspect, until: until}
+		latest := open[len(open)-1]
+		j.rulings[f] = ruling{verdict: Quarantined, until: latest.AtMillis + j.spell}
+	}
+	for f, open := range j.open {
+		j.open[f] = slices.DeleteFunc(open, func(c *Crash) bool { return explained[c] })
+	}
+}
+
+// suspect makes a suspect of what isn't quarantined.
+func (j *judgement) suspect(f request.Fingerprint, open []*Crash) {
+	known := j.rulings[f]
+	if known.verdict == Quarantined {
+		return
 	}
+	until := open[len(open)-1].AtMillis + j.spell
+	j.rulings[f] = ruling{verdict: Suspect, until: max(known.until, until)}
 }
--- a/request/quarantine/message.go
+++ b/request/quarantine/message.go
@@ -13,7 +13,8 @@
 // Running is a request that was in flight at a target when it crashed.
 type Running struct {
 	Fingerprint request.Fingerprint `json:"fingerprint"`
-	// Suspect tells that the guard ran it as a suspect.
+	// Suspect tells that the guard ran it as a suspect. It is no proof: the
+	// crash that made it one is. It matters if the list has to be cut.
 	Suspect bool `json:"suspect,omitempty"`
 }
 
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -62,6 +62,37 @@
 	wantVerdict(t, table, 2, start.Add(time.Second), Suspect)
 }
 
+// A node that has not heard of the first crash yet gets a request marked as a
+// suspect beside one that isn't marked although it should be.
+func TestMarkAloneConvictsNobody(t *testing.T) {
+	table := New(DefaultSettings)
+	table.Crash(CrashID{"n2", "b"}, running(1, 2, 1), start)
+	wantVerdict(t, table, 2, start, Suspect)
+	first := Crash{ID: CrashID{"n1", "a"}, AtMillis: start.UnixMilli() - 5, Running: running(0, 1, 2)}
+	table.Merge(Message{Crashes: []Crash{first}}, start)
+	wantVerdict(t, table, 2, start, Suspect)
+	table.Crash(CrashID{"n3", "c"}, running(1, 1, 9), start.Add(time.Second))
+	wantVerdict(t, table, 1, start.Add(time.Second), Quarantined)
+	wantVerdict(t, table, 2, start.Add(time.Second), Unsuspected)
+	wantVerdict(t, table, 9, start.Add(time.Second), Unsuspected)
+}
+
+// Two crashers at once: 1 and 2 each crash two targets, and 5 is in a crash of
+// each. It is let go once the second crasher has shown itself.
+func TestFurtherCrashAcquits(t *testing.T) {
+	table := New(DefaultSettings)
+	table.Crash(CrashID{"n1", "a"}, running(0, 1, 5), start)
+	table.Crash(CrashID{"n2", "b"}, running(1, 5, 2), start.Add(time.Second))
+	later := start.Add(2 * time.Second)
+	table.Crash(CrashID{"n3", "c"}, running(0, 2, 8), later)
+	wantVerdict(t, table, 2, later, Quarantined)
+	wantVerdict(t, table, 5, later, Suspect)
+	table.Crash(CrashID{"n4", "d"}, running(1, 1, 7), later)
+	wantVerdict(t, table, 1, later, Quarantined)
+	wantVerdict(t, table, 5, later, Unsuspected)
+	wantVerdict(t, table, 8, later, Unsuspected)
+}
+
 func TestImplausibleTimesAreIgnored(t *testing.T) {
 	table := New(DefaultSettings)
 	for _, at := range []time.Duration{-2 * DefaultSettings.Spell, 2 * maxFuture} {
@@ -137,20 +168,24 @@
 	f.mail[i] = nil
 }
 
-// send runs a request at a node's target unless it is refused.
+// send runs a request at a node's target unless it is refused. The ingress
+// node marks what it takes for a suspect.
 func (f *fleet) send(i int, fp request.Fingerprint) {
 	verdict, _ := f.tables[i].Check(fp, f.now)
-	if verdict == Quarantined {
+	ingress := rapid.IntRange(0, len(f.tables)-1).Draw(f.t, "ingress")
+	marked, _ := f.tables[ingress].Check(fp, f.now)
+	if max(verdict, marked) == Quarantined {
 		if fp != crasher {
 			f.t.Fatalf("innocent %v is quarantined", fp)
 		}
 		return
 	}
-	if verdict == Suspect && f.runsSuspect(i) {
+	suspect := verdict == Suspect || marked == Suspect
+	if suspect && f.runsSuspect(i) {
 		f.again = append(f.again, fp)
 		return
 	}
-	f.running[i] = append(f.running[i], Running{Fingerprint: fp, Suspect: verdict == Suspect})
+	f.running[i] = append(f.running[i], Running{Fingerprint: fp, Suspect: suspect})
 }
 
 func (f *fleet) runsSuspect(i int) bool {
