--- a/process/admission/cold_test.go
+++ b/process/admission/cold_test.go
@@ -239,6 +239,19 @@
 	}
 }
 
+// A target that is slower for good is not suspected for good.
+func TestLastingChangeBecomesUsual(t *testing.T) {
+	g := newGuard(t, "fixed")
+	g.Announce(Target{Instance: "a", Slots: slots, ColdLimit: coldLimit}, start)
+	now := warmUp(t, g, start)
+	for range 100 {
+		now = round(g, now, 8*workTime, Result{Kind: Answered})
+	}
+	if got := g.Sample(now).Limit; got != slots {
+		t.Errorf("limit %d after 100 rounds at the new latency, want %d", got, slots)
+	}
+}
+
 // steadyFlow admits a request each millisecond, which takes workTime. It
 // returns what still runs. If it hangs, nothing ends.
 func steadyFlow(g *Guard, running []Ticket, now time.Time, steps int, hangs bool) ([]Ticket, time.Time) {
