Bound the targets that one request crashes to two, also before others hear

Cause: in the scenario crashing-request on 13 nodes and 13 targets, one lookup crashed all 4 targets of its service: the dispatcher tried it again elsewhere after each broken connection, faster than the report of the first crash arrived.

Ruled out: the quarantine's verdicts; later sends were refused with 422.

Change: the dispatcher counts the connections of targets that broke under a request. After the first it marks the request as a suspect and hedges it no more, after the second it gives up, as quarantine would. What it answers is unknown, as before.

Taken out in turn: the bound (the spec on two targets failed), the mark (the spec on the suspect failed).

--- /dev/null
+++ b/node/crash_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a request that crashes each target that runs it", func() {
+	It("runs at two targets at most, before other nodes hear of a crash", func() {
+		for range 20 {
+			p := newPath(breakOff, breakOff, breakOff, breakOff, breakOff)
+			status, _, answer := p.get("/s/x")
+			Expect(status).To(Equal(http.StatusBadGateway))
+			Expect(answer).To(ContainSubstring("unknown"))
+			Expect(p.runs.Load()).To(BeEquivalentTo(2))
+		}
+	})
+
+	It("is a suspect from the first broken connection on", func() {
+		o := &order{}
+		run := &dispatchRun{order: o}
+		run.suspect()
+		Expect(run.order.suspect).To(BeFalse())
+		run.broken.Add(1)
+		run.suspect()
+		Expect(run.order.suspect).To(BeTrue())
+		Expect(o.suspect).To(BeFalse())
+	})
+})
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,9 @@
 const (
 	// maxAttempts bounds the attempts of one request, hedges included.
 	maxAttempts = 6
+	// maxBroken is how many broken connections of targets end a request, since
+	// a request in flight at two crashes is quarantined.
+	maxBroken = 2
 	// noTargetRetryAfter is when a caller may come back that found no target.
 	noTargetRetryAfter = time.Second
 )
@@ -58,6 +62,9 @@
 	order  *order
 	budget *serviceBudget
 	tried  []string
+	// broken counts the attempts under which a target's connection broke: each
+	// may be a crash that the request caused.
+	broken atomic.Int32
 }
 
 // loop makes attempts until one is final.
@@ -73,10 +80,22 @@
 		if !r.again(ctx, &last) {
 			return last
 		}
+		r.suspect()
 		r.metrics.retries.Inc(1)
 	}
 }
 
+// suspect marks the request for the attempts to come once a target's
+// connection broke under it. The other nodes may not have heard of a crash yet.
+func (r *dispatchRun) suspect() {
+	if r.broken.Load() == 0 || r.order.suspect {
+		return
+	}
+	marked := *r.order
+	marked.suspect = true
+	r.order = &marked
+}
+
 // pick chooses the node of the next attempt among those not yet tried.
 func (r *dispatchRun) pick() (string, bool) {
 	if len(r.tried) >= maxAttempts {
@@ -115,6 +134,9 @@
 	if !last.notRun() && !r.order.route.Idempotent {
 		return false
 	}
+	if r.broken.Load() >= maxBroken {
+		return false
+	}
 	allowed := r.allow(last, now)
 	if !allowed {
 		r.metrics.retriesDenied.Inc(1)
@@ -133,7 +155,7 @@
 // attempt makes one attempt, beside which a hedge may start.
 func (r *dispatchRun) attempt(ctx context.Context, node string) result {
 	delay, known := r.budget.hedge.Delay(time.Now())
-	if !known || !r.order.route.Idempotent || !r.order.route.Hedge {
+	if !known || !r.order.route.Idempotent || !r.order.route.Hedge || r.order.suspect {
 		return r.try(ctx, node)
 	}
 	return r.hedged(ctx, node, delay)
@@ -216,6 +238,9 @@
 	if ctx.Err() != nil && res.answer == nil && !res.notRun() {
 		res.kind = balance.Cancelled
 	}
+	if res.brokeTarget() {
+		r.broken.Add(1)
+	}
 	if res.sampled {
 		r.table.Observe(service, node, res.sample, now)
 	}
--- a/node/result.go
+++ b/node/result.go
@@ -50,6 +50,13 @@
 	return r.failure != nil && r.failure.Outcome == request.NotRun
 }
 
+// brokeTarget reports whether the connection to a target broke under the
+// attempt, as it does when the target crashes.
+func (r *result) brokeTarget() bool {
+	f := r.failure
+	return f != nil && f.Step == stepTarget && f.Outcome == request.Unknown && f.Status == http.StatusBadGateway
+}
+
 // close gives up an answer that nobody reads.
 func (r *result) close() {
 	if r.answer != nil {
