Tell configuration versions by a map of ring places

Cause: a version in force on each node is news of every node at once. Ruled out: more room for single versions on heartbeats, which costs bytes at all times; versions in the table's digest, which would compare tables at each change. Changes of versions alone leave Version and ByService as they are.

--- a/process/membership/apply.go
+++ b/process/membership/apply.go
@@ -16,11 +16,11 @@
 func (t *Table) change(now time.Time, e *entry, edit func(*Member)) {
 	before := e.Member
 	if before.Node != "" && before.Status.Present() {
-		t.present ^= hashEntry(e.id, &before)
+		t.others ^= hashEntry(e.id, &before)
 	}
 	edit(&e.Member)
 	if e.Status.Present() {
-		t.present ^= hashEntry(e.id, &e.Member)
+		t.others ^= hashEntry(e.id, &e.Member)
 	}
 	if before.Node == "" || before.Status != e.Status {
 		e.since = now
@@ -59,13 +59,23 @@
 
 // noteChange counts a change and has the subscribers told.
 func (t *Table) noteChange(before, after Member) {
-	t.version++
-	t.services = nil
+	t.versionsKept = false
+	t.newest = max(t.newest, after.ConfigVersion)
+	if !sameButVersion(before, after) {
+		t.version++
+		t.services = nil
+	}
 	for _, f := range t.subscribers {
 		t.calls = append(t.calls, func() { f(Change{Before: before, After: after}) })
 	}
 }
 
+// sameButVersion reports whether two members differ in ConfigVersion at most.
+func sameButVersion(a, b Member) bool {
+	a.ConfigVersion = b.ConfigVersion
+	return a == b
+}
+
 // applyRecord takes in a member's record and reports whether it told anything
 // new. From is the sender, nil for the platform.
 func (t *Table) applyRecord(now time.Time, from *entry, m Member) bool {
@@ -135,18 +145,6 @@
 	}
 }
 
-// applyVersion takes in a configuration version of a member.
-func (t *Table) applyVersion(now time.Time, e *entry, version uint64) {
-	if version == e.ConfigVersion {
-		t.versions.heard(newsKey{newsVersion, e.id}, maxVersionSends)
-	}
-	if version <= e.ConfigVersion {
-		return
-	}
-	t.change(now, e, func(old *Member) { old.ConfigVersion = version })
-	t.versions.push(newsKey{newsVersion, e.id})
-}
-
 // applyLiveness takes in what a sender believes of a member's life and reports
 // whether that was new. Within an incarnation, having left is final, more
 // refutations win, and at as many a suspicion wins.
@@ -212,11 +210,7 @@
 	if after == before {
 		return nil
 	}
-	versionOnly := before
-	versionOnly.ConfigVersion = after.ConfigVersion
-	if after == versionOnly {
-		t.versions.push(newsKey{newsVersion, t.selfID})
-	} else {
+	if !sameButVersion(before, after) {
 		after.Sequence++
 		t.announce(newsKey{newsRecord, t.selfID})
 	}
--- a/process/membership/bench_test.go
+++ b/process/membership/bench_test.go
@@ -109,6 +109,18 @@
 	return took
 }
 
+// versionsKnown returns how long it takes until every table knows that a new
+// version is in force on every node.
+func (f *fleet) versionsKnown() time.Duration {
+	const version = 1 << 20
+	f.configure(version)
+	return f.until(time.Second, 10*time.Minute, func() bool {
+		return !slices.ContainsFunc(f.nodes, func(n *fleetNode) bool {
+			return slices.ContainsFunc(n.table.Members(), func(m Member) bool { return m.ConfigVersion != version })
+		})
+	})
+}
+
 // part returns the nodes for which in is true.
 func (f *fleet) part(in func(i int) bool) []*fleetNode {
 	var nodes []*fleetNode
@@ -186,6 +198,7 @@
 	b.ReportMetric(day.most, "most-B/s/node")
 	b.ReportMetric(day.messages, "messages/s/node")
 	f.runFor(time.Minute)
+	b.ReportMetric(f.versionsKnown().Seconds(), "versions-s")
 	p50, most := median(repeat(9, func() time.Duration {
 		f.runFor(3 * time.Second)
 		return f.changeKnown()
--- a/process/membership/doc.go
+++ b/process/membership/doc.go
@@ -17,7 +17,8 @@
 // period (1 s) it sends a heartbeat to a fixed number of them, the nearest
 // always and the others in turn, and each is answered. A heartbeat has a
 // bounded size: the sender's own counters, a digest of its table, news that is
-// passed on a bounded number of times, and a few configuration versions.
+// passed on a bounded number of times, and part of a map of the members on which
+// the newest configuration version is in force.
 //
 // Urgent news (a target that drains, leaves, or changes state; a rumour) is
 // passed on at once to all neighbours, each piece once by each node, within a
@@ -47,9 +48,9 @@
 //
 // # Limits to know
 //
-// Configuration versions travel only in the room that heartbeats have for them:
-// the version shown for a far member may be some time old; ask the node itself
-// for the exact one. A rumour may miss a node that is away while it spreads.
+// The configuration version shown for a member is the newest that this node has
+// heard of, which may be some seconds old; ask the node itself for the exact
+// one. A rumour may miss a node that is away while it spreads.
 // Two processes under one name raise their incarnations against each other, at
 // most once a period; each then disturbs the other.
 package membership
--- a/process/membership/heartbeat.go
+++ b/process/membership/heartbeat.go
@@ -75,6 +75,7 @@
 		Refutations:   t.self.Refutations,
 		ConfigVersion: t.self.ConfigVersion,
 		Digest:        t.digest(),
+		Versions:      t.versionMap(),
 		News:          t.piggyback(),
 	}
 	if to.Status != Alive {
@@ -118,6 +119,7 @@
 		return
 	}
 	t.hearSender(now, e, h)
+	t.hearVersions(now, &h.Versions)
 	t.compareDigest(now, e, h.Digest)
 	if !h.Ack {
 		t.send(from, t.heartbeat(e, true))
--- a/process/membership/messages.go
+++ b/process/membership/messages.go
@@ -38,6 +38,8 @@
 	ConfigVersion uint64
 	// Digest stands for the sender's present members.
 	Digest uint64
+	// Versions says where a configuration version is in force.
+	Versions VersionMap
 	// News is what travels along.
 	News News
 }
@@ -54,8 +56,6 @@
 	Records []Member
 	// Livenesses are members of which only the life is told.
 	Livenesses []Liveness
-	// Versions are configuration versions in force on members.
-	Versions []NodeVersion
 	// Rumours are messages of other packages.
 	Rumours []FloodedRumour
 	// Want names members whose records the sender asks for.
@@ -64,7 +64,7 @@
 
 // empty reports whether there is nothing to tell.
 func (n *News) empty() bool {
-	return len(n.Records)+len(n.Livenesses)+len(n.Versions)+len(n.Rumours)+len(n.Want) == 0
+	return len(n.Records)+len(n.Livenesses)+len(n.Rumours)+len(n.Want) == 0
 }
 
 // Liveness is what the sender believes of a member's life.
@@ -75,12 +75,6 @@
 	Status      Status
 }
 
-// NodeVersion is the configuration version in force on a member.
-type NodeVersion struct {
-	ID      uint64
-	Version uint64
-}
-
 // FloodedRumour is a rumour on its way.
 type FloodedRumour struct {
 	Rumour Rumour
--- a/process/membership/news.go
+++ b/process/membership/news.go
@@ -18,11 +18,6 @@
 const (
 	// maxAnswerRecords is how many records one answer carries.
 	maxAnswerRecords = 40
-	// maxVersionSends is how often a node passes a member's version on.
-	maxVersionSends = 3
-	// versionWindow is how many versions of a rotating choice of members a
-	// heartbeat repeats, so that a missed one is mended.
-	versionWindow = 2
 )
 
 // announce has a piece of news passed on: at once as far as the tokens go, and
@@ -146,7 +141,6 @@
 		room -= t.addNews(&news, key)
 		return true
 	})
-	t.addVersions(&news)
 	return news
 }
 
@@ -156,30 +150,6 @@
 	return 3 + bits.Len(uint(len(t.ring.places)))/2
 }
 
-// addVersions adds the versions that changed lately and a rotating window.
-func (t *Table) addVersions(news *News) {
-	t.versions.take(maxVersionSends, func(key newsKey) bool {
-		if len(news.Versions) >= t.opts.VersionsPerMessage {
-			return false
-		}
-		t.addVersion(news, key.id)
-		return true
-	})
-	places := t.ring.places
-	for range min(versionWindow, len(places)) {
-		t.cursor++
-		t.addVersion(news, places[t.cursor%uint64(len(places))])
-	}
-}
-
-// addVersion adds the version in force on a member.
-func (t *Table) addVersion(news *News, id uint64) {
-	m, ok := t.member(id)
-	if ok && m.ConfigVersion > 0 {
-		news.Versions = append(news.Versions, NodeVersion{ID: id, Version: m.ConfigVersion})
-	}
-}
-
 // hearNews takes in the news of a message. From is nil when the sender isn't
 // known yet.
 func (t *Table) hearNews(now time.Time, sender string, from *entry, news *News) {
@@ -190,11 +160,6 @@
 	for _, l := range news.Livenesses {
 		t.applyLiveness(now, from, l)
 	}
-	for _, v := range news.Versions {
-		if e := t.byID[v.ID]; e != nil {
-			t.applyVersion(now, e, v.Version)
-		}
-	}
 	for _, r := range news.Rumours {
 		t.hearRumour(now, r)
 	}
--- a/process/membership/options.go
+++ b/process/membership/options.go
@@ -26,8 +26,6 @@
 	MaxMembers int
 	// PiggybackBytes bounds the news on a heartbeat, in bytes, roughly.
 	PiggybackBytes int
-	// VersionsPerMessage bounds the configuration versions on a heartbeat.
-	VersionsPerMessage int
 	// UrgentPerSecond and UrgentBurst bound how many pieces of news are passed
 	// on at once; what exceeds them travels with the heartbeats.
 	UrgentPerSecond float64
@@ -41,21 +39,20 @@
 // DefaultOptions returns the settings that zero fields take.
 func DefaultOptions() Options {
 	return Options{
-		Period:             time.Second,
-		Probes:             4,
-		SuspectAfter:       3 * time.Second,
-		ConfirmAfter:       4 * time.Second,
-		ForgetAfter:        2 * time.Hour,
-		ReconnectEvery:     10 * time.Second,
-		SyncAfter:          2 * time.Second,
-		SyncEvery:          time.Second,
-		MaxMembers:         8192,
-		PiggybackBytes:     1000,
-		VersionsPerMessage: 16,
-		UrgentPerSecond:    5,
-		UrgentBurst:        40,
-		MaxRumours:         4096,
-		MaxRumourBytes:     1024,
+		Period:          time.Second,
+		Probes:          4,
+		SuspectAfter:    3 * time.Second,
+		ConfirmAfter:    4 * time.Second,
+		ForgetAfter:     2 * time.Hour,
+		ReconnectEvery:  10 * time.Second,
+		SyncAfter:       2 * time.Second,
+		SyncEvery:       time.Second,
+		MaxMembers:      8192,
+		PiggybackBytes:  1000,
+		UrgentPerSecond: 5,
+		UrgentBurst:     40,
+		MaxRumours:      4096,
+		MaxRumourBytes:  1024,
 	}
 }
 
@@ -72,7 +69,6 @@
 	setDefault(&o.SyncEvery, d.SyncEvery)
 	setDefault(&o.MaxMembers, d.MaxMembers)
 	setDefault(&o.PiggybackBytes, d.PiggybackBytes)
-	setDefault(&o.VersionsPerMessage, d.VersionsPerMessage)
 	setDefault(&o.UrgentPerSecond, d.UrgentPerSecond)
 	setDefault(&o.UrgentBurst, d.UrgentBurst)
 	setDefault(&o.MaxRumours, d.MaxRumours)
--- a/process/membership/ring.go
+++ b/process/membership/ring.go
@@ -8,6 +8,8 @@
 // ring keeps the present members in the order of their places.
 type ring struct {
 	places []uint64
+	// sum stands for the places.
+	sum uint64
 }
 
 // add puts a place on the ring.
@@ -15,6 +17,7 @@
 	at, found := slices.BinarySearch(r.places, id)
 	if !found {
 		r.places = slices.Insert(r.places, at, id)
+		r.sum ^= id
 	}
 }
 
@@ -23,6 +26,7 @@
 	at, found := slices.BinarySearch(r.places, id)
 	if found {
 		r.places = slices.Delete(r.places, at, at+1)
+		r.sum ^= id
 	}
 }
 
--- a/process/membership/spread.go
+++ b/process/membership/spread.go
@@ -11,9 +11,7 @@
 const (
 	newsRecord newsKind = iota
 	newsLiveness
-	newsVersion
 	newsRumour
-	newsKinds
 )
 
 // newsKey names a piece of news. The news itself is looked up when it is sent,
--- a/process/membership/suspect.go
+++ b/process/membership/suspect.go
@@ -116,7 +116,6 @@
 	t.absent--
 	t.news.drop(newsKey{newsRecord, e.id})
 	t.news.drop(newsKey{newsLiveness, e.id})
-	t.versions.drop(newsKey{newsVersion, e.id})
 	t.noteChange(e.Member, Member{})
 }
 
--- a/process/membership/table.go
+++ b/process/membership/table.go
@@ -50,8 +50,12 @@
 	quiet   bool // set while news isn't to be passed on
 	byID    map[uint64]*entry
 	ring    ring
-	present uint64 // digest of the present members but self
+	others  uint64 // digest of the present members but self
 	version uint64
+	newest  uint64 // highest configuration version known of
+	// versionsSame says whether all present members have the newest version,
+	// as far as versionsKept is set.
+	versionsSame, versionsKept bool
 	// suspects and absent count the suspects, and the dead and left members.
 	suspects, absent int
 
@@ -62,7 +66,6 @@
 	services map[string][]Member
 
 	news     spread
-	versions spread
 	rumours  rumours
 	rumourID uint64
 	// urgent is what this call passes on at once, as far as tokens go.
@@ -74,7 +77,7 @@
 	lastTick  time.Time
 	resumed   time.Time // when this node last ran again after a pause
 	turn      int
-	cursor    uint64
+	cursor    int
 	lastSync  time.Time
 	answered  int
 	reprobes  int
@@ -101,6 +104,7 @@
 		rumourSubscribers: make(map[uint8][]func(time.Time, Rumour)),
 	}
 	t.ring.add(t.selfID)
+	t.newest = self.ConfigVersion
 	return t
 }
 
@@ -156,7 +160,8 @@
 }
 
 // ByService returns the present members whose target is of a service, by name.
-// The slice is shared: callers must not change it.
+// The slice is shared: callers must not change it. Its configuration versions
+// may be older than those of Lookup.
 func (t *Table) ByService(service string) []Member {
 	t.mu.RLock()
 	services := t.services
@@ -201,7 +206,8 @@
 	return names
 }
 
-// Version counts the changes of the table.
+// Version counts the changes of the table, but those of configuration versions
+// alone.
 func (t *Table) Version() uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -245,9 +251,9 @@
 // digest stands for the present members, this node included.
 func (t *Table) digest() uint64 {
 	if !t.self.Status.Present() {
-		return t.present
+		return t.others
 	}
-	return t.present ^ hashEntry(t.selfID, &t.self)
+	return t.others ^ hashEntry(t.selfID, &t.self)
 }
 
 // hashEntry returns a member's part of a digest.
