Benchmark peer links, test unknown statuses

Cause: the cost of a message is wanted for the capacity page. Change: BenchmarkSend; a test that unknown statuses are dropped, seen to fail without the check.

--- /dev/null
+++ b/connection/peerlink/bench_test.go
@@ -0,0 +1,70 @@
+package peerlink
+
+import (
+	"testing"
+	"time"
+
+	"verbenatrestle/connection/wire"
+)
+
+// waiting signals each message that arrives.
+type waiting struct{ arrived chan struct{} }
+
+func (w waiting) HandleMessage(string, any) { w.arrived <- struct{}{} }
+func (w waiting) LinkUp(string)             {}
+func (w waiting) LinkDown(string, error)    {}
+
+// BenchmarkSend sends small messages over one link, a window at a time.
+func BenchmarkSend(b *testing.B) {
+	arrived := make(chan struct{}, 1024)
+	var nodes []*Links
+	for _, name := range []string{"y", "z"} {
+		codec := wire.NewCodec()
+		codec.Register(200, (*testMessage)(nil))
+		links, err := New(Options{
+			Self:          name,
+			ListenAddress: address(name),
+			Key:           []byte("0123456789abcdef"),
+			Codec:         codec,
+			Handler:       waiting{arrived},
+			Resolve:       func(node string) (string, bool) { return address(node), true },
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := links.Start(); err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { stop(links) })
+		nodes = append(nodes, links)
+	}
+	const window = 256
+	message := &testMessage{Blob: make([]byte, 100)}
+	b.ReportAllocs()
+	b.SetBytes(100)
+	b.ResetTimer()
+	outstanding := 0
+	for range b.N {
+		if outstanding == window {
+			receive(b, arrived)
+			outstanding--
+		}
+		if err := nodes[0].Send("z", message); err != nil {
+			b.Fatal(err)
+		}
+		outstanding++
+	}
+	for range outstanding {
+		receive(b, arrived)
+	}
+	b.StopTimer()
+}
+
+// receive waits for one message.
+func receive(b *testing.B, arrived <-chan struct{}) {
+	select {
+	case <-arrived:
+	case <-time.After(patience):
+		b.Fatal("a message did not arrive")
+	}
+}
--- a/process/membership/table_test.go
+++ b/process/membership/table_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+func TestUnknownStatusIsDropped(t *testing.T) {
+	f := newFleet(2, 8, Options{})
+	f.startAll(time.Second)
+	table := f.nodes[0].table
+	before, _ := table.Lookup("n0001")
+	odd := before
+	odd.Incarnation, odd.Status = odd.Incarnation+1, statusCount
+	table.Handle(f.now, "n0001", &Gossip{News: News{Records: []Member{odd}}})
+	table.Handle(f.now, "n0001", &Gossip{News: News{Livenesses: []Liveness{
+		{ID: ringID("n0001"), Incarnation: before.Incarnation, Refutations: 5, Status: statusCount},
+	}}})
+	if after, _ := table.Lookup("n0001"); after != before {
+		t.Errorf("%+v became %+v", before, after)
+	}
+}
+
 // FuzzHandle hands a table whatever a peer that holds the key may send.
 func FuzzHandle(f *testing.F) {
 	codec := wire.NewCodec()
