Add scenarios of faults on real processes, and the measures of agreement

Cause: the demo shows one data centre leaving and returning; nothing on real processes kills, freezes or cuts nodes, or measures what agreement costs.

Change: scripts/faults.sh (make faults) runs 15 scenarios, each with a fleet of 13 nodes and 13 targets of its own under load, and prints a verdict: doubled, lied, misrouted or truncated answers, a process that ended by itself, and a service that isn't answered in the last three seconds fail it. Targets report runs to the load's collector before they begin, so that runs at killed targets count. scripts/agreement.sh (make agreement) prints one line a measure. scripts/trial.sh holds what both share.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # SEED seeds rapid, ginkgo and the measurements.
 SEED ?= 20261203
 
-.PHONY: build demo test check bench overhead agreement capacity
+.PHONY: build demo test check bench overhead agreement faults capacity
 
 build:
 	@mkdir -p $(BIN)
@@ -31,8 +31,13 @@
 overhead: build
 	@scripts/overhead.sh
 
+# MEASURES names the measures of `make agreement`; none means all.
 agreement: build
-	@scripts/agreement.sh
+	@SEED=$(SEED) scripts/agreement.sh $(MEASURES)
+
+# FAULTS names the scenarios of `make faults`; none means all.
+faults: build
+	@SEED=$(SEED) scripts/faults.sh $(FAULTS)
 
 capacity: build
 	@scripts/capacity.sh
