Let one attempt of a request wait a moment for a slot of a full target

Cause: at 150% of capacity a slot that became free stayed empty until the next request happened to come: guards never queue, and the retry budget ends most requests after one refusal.

At most a quarter of the limit waits at once; who waits longest goes first. Only a full target is waited for, never a cold, ejected or draining one. Each try is an admission of its own, so no bound of the guard changes.

Taken out and seen to fail: the bound on how many wait (TestOnlyAFewRequestsWait), the end of the wait at another refusal (TestWaitEndsWhenTheTargetDrains).

--- a/node/build.go
+++ b/node/build.go
@@ -117,6 +117,7 @@
 		admission:  core,
 		quarantine: n.quarantine,
 		spread:     n.peers.spreadQuarantine,
+		waiting:    newWaiting(slotWait),
 	}
 	core.SetOut(true, n.started)
 	n.target = &localTarget{
--- a/node/guard.go
+++ b/node/guard.go
@@ -28,18 +28,17 @@
 	// broken is called when a connection to the target broke or was refused.
 	broken func(address string)
 	target atomic.Pointer[targetClient]
+	// waiting holds patient requests while the target is full.
+	waiting *waiting
 }
 
 // serve implements orderServer.
 func (g *guard) serve(ctx context.Context, o *order) result {
-	now := time.Now()
-	ticket, refusal := g.admission.Admit(admission.Request{
-		Caller:      request.ShareKey{Organisation: o.service.ID.Organisation(), Service: o.service.ID.Name()},
-		Fingerprint: o.fingerprint,
-		Suspect:     o.suspect || g.suspects(o, now),
-		Expiry:      o.expiry,
-		Deadline:    o.deadline.Time(),
-	}, now)
+	try := func() (admission.Ticket, *admission.Refusal) { return g.admit(o, time.Now()) }
+	ticket, refusal := try()
+	if o.patience.take() && refusal != nil {
+		ticket, refusal = g.waiting.admit(ctx, refusal, try)
+	}
 	if refusal != nil {
 		return result{
 			failure: refusal.Failure(g.self),
@@ -51,6 +50,17 @@
 	return g.send(ctx, ticket, o)
 }
 
+// admit asks admission to let the order in.
+func (g *guard) admit(o *order, now time.Time) (admission.Ticket, *admission.Refusal) {
+	return g.admission.Admit(admission.Request{
+		Caller:      request.ShareKey{Organisation: o.service.ID.Organisation(), Service: o.service.ID.Name()},
+		Fingerprint: o.fingerprint,
+		Suspect:     o.suspect || g.suspects(o, now),
+		Expiry:      o.expiry,
+		Deadline:    o.deadline.Time(),
+	}, now)
+}
+
 // suspects reports whether this node holds the request for a suspect.
 func (g *guard) suspects(o *order, now time.Time) bool {
 	verdict, _ := g.quarantine.Check(o.fingerprint, now)
@@ -154,6 +164,7 @@
 func (g *guard) end(t admission.Ticket, o *order, kind admission.Kind, instance string, res result) result {
 	now := time.Now()
 	crash := g.admission.Done(t, admission.Result{Kind: kind, Instance: instance}, now)
+	g.waiting.wake()
 	g.reportCrash(crash, now)
 	if kind == admission.Answered {
 		g.tell(g.quarantine.Complete(o.fingerprint, o.suspect, now))
--- a/node/order.go
+++ b/node/order.go
@@ -38,6 +38,8 @@
 	deadline request.Deadline
 	// expiry is when the order must not reach a target any more. Zero: never.
 	expiry time.Time
+	// patience lets one attempt wait at a full guard. Nil lets none.
+	patience *patience
 }
 
 // httpRequest returns the order as an HTTP request to base, a URL without
@@ -89,6 +91,9 @@
 	if o.suspect {
 		h.Set(request.HeaderSuspect, "1")
 	}
+	if hop == request.HopGuard && o.patience.take() {
+		h.Set(headerPatient, "1")
+	}
 	if !o.expiry.IsZero() {
 		h.Set(request.HeaderExpiry, strconv.FormatInt(o.expiry.UnixMilli(), 10))
 	}
@@ -113,6 +118,7 @@
 	request.HeaderOutcome,
 	headerFingerprint,
 	headerHopKey,
+	headerPatient,
 }
 
 // connectionHeaders belong to one connection and are never sent on.
--- /dev/null
+++ b/node/waiting_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"verbenatrestle/connection/load"
+	"verbenatrestle/process/admission"
+	"verbenatrestle/request"
+)
+
+// longWait outlasts every test, so that only a wake or a limit ends a wait.
+const longWait = time.Minute
+
+func full() *admission.Refusal {
+	return &admission.Refusal{Reason: admission.Full, Sample: load.Sample{InFlight: 8, Limit: 8}}
+}
+
+// waiter is a request that waits, and the slot that it waits for.
+type waiter struct {
+	free  atomic.Bool
+	tries atomic.Int64
+	ended chan *admission.Refusal
+}
+
+func startWaiter(ctx context.Context, w *waiting) *waiter {
+	r := &waiter{ended: make(chan *admission.Refusal, 1)}
+	go func() {
+		_, refusal := w.admit(ctx, full(), func() (admission.Ticket, *admission.Refusal) {
+			r.tries.Add(1)
+			if r.free.Load() {
+				return admission.Ticket{}, nil
+			}
+			return admission.Ticket{}, full()
+		})
+		r.ended <- refusal
+	}()
+	return r
+}
+
+// wakeUntil wakes until the waiter ends.
+func (r *waiter) wakeUntil(t *testing.T, w *waiting) *admission.Refusal {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		w.wake()
+		select {
+		case refusal := <-r.ended:
+			return refusal
+		case <-deadline:
+			t.Fatal("the request still waits")
+		default:
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func waitCount(t *testing.T, w *waiting, want int64) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for w.count.Load() != want {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d wait, want %d", w.count.Load(), want)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestWaitingRequestGetsTheFreeSlot(t *testing.T) {
+	w := newWaiting(longWait)
+	r := startWaiter(t.Context(), w)
+	waitCount(t, w, 1)
+	for r.tries.Load() == 0 {
+		w.wake()
+	}
+	r.free.Store(true)
+	if refusal := r.wakeUntil(t, w); refusal != nil {
+		t.Fatalf("refused: %v", refusal)
+	}
+	waitCount(t, w, 0)
+}
+
+func TestOnlyAFewRequestsWait(t *testing.T) {
+	w := newWaiting(longWait)
+	ctx, cancel := context.WithCancel(t.Context())
+	first, second := startWaiter(ctx, w), startWaiter(ctx, w)
+	waitCount(t, w, 2) // a quarter of the limit of 8
+	third := startWaiter(ctx, w)
+	if refusal := <-third.ended; refusal == nil || refusal.Reason != admission.Full {
+		t.Fatalf("third request: %v", refusal)
+	}
+	waitCount(t, w, 2)
+	cancel()
+	if <-first.ended == nil || <-second.ended == nil {
+		t.Fatal("a request that nobody waits for was admitted")
+	}
+	waitCount(t, w, 0)
+}
+
+func TestOnlyAFullTargetIsWaitedFor(t *testing.T) {
+	w := newWaiting(longWait)
+	for _, reason := range []admission.Reason{admission.Draining, admission.TakenOut, admission.ColdFull, admission.EjectedFull} {
+		refusal := &admission.Refusal{Reason: reason}
+		_, got := w.admit(t.Context(), refusal, func() (admission.Ticket, *admission.Refusal) {
+			t.Fatalf("%s: tried again", reason)
+			return admission.Ticket{}, nil
+		})
+		if got != refusal {
+			t.Errorf("%s: %v", reason, got)
+		}
+	}
+}
+
+func TestWaitEndsWhenTheTargetDrains(t *testing.T) {
+	w := newWaiting(longWait)
+	ended := make(chan *admission.Refusal, 1)
+	go func() {
+		_, refusal := w.admit(t.Context(), full(), func() (admission.Ticket, *admission.Refusal) {
+			return admission.Ticket{}, &admission.Refusal{Reason: admission.Draining}
+		})
+		ended <- refusal
+	}()
+	r := &waiter{ended: ended}
+	if refusal := r.wakeUntil(t, w); refusal.Reason != admission.Draining {
+		t.Fatalf("got %v", refusal)
+	}
+}
+
+func TestWaitIsBounded(t *testing.T) {
+	w := newWaiting(time.Millisecond)
+	if refusal := <-startWaiter(t.Context(), w).ended; refusal == nil {
+		t.Fatal("admitted without a slot")
+	}
+}
+
+func TestOneAttemptIsPatient(t *testing.T) {
+	p := &patience{}
+	if !p.take() || p.take() || (*patience)(nil).take() {
+		t.Fatal("not just the first attempt may wait")
+	}
+	guard := http.Header{request.HeaderHop: {request.HopGuard}}
+	if sentPatience(guard) != nil {
+		t.Fatal("patience that was not sent")
+	}
+	guard.Set(headerPatient, "1")
+	owner := http.Header{request.HeaderHop: {request.HopOwner}}
+	if sentPatience(guard) == nil || sentPatience(owner) == nil {
+		t.Fatal("patience was lost on the hop")
+	}
+}
