Fence a successor from the end of its predecessor's lease, not its own begin

After a takeover all keys older than the successor's begin plus twice the skew were "unknown": also those of the time in which nobody had a lease, which nobody can have run. A witness now says for how long it has been quiet about lower tenures. Former leases needed one of the witnesses that let the successor begin, and counted for less than a term from its last acknowledgement, so the fence begins there. "Unknown" then covers about a term and the skew, however long the takeover took. A witness counts from its start, from when it came to know the service, and from when it came to know the epoch, and its clock may run fast by the margin.

A node that does not know the service's object yet now answers "not the owner" with a short wait instead of refusing: callers' nodes try again.

--- a/process/ownership/beats.go
+++ b/process/ownership/beats.go
@@ -97,11 +97,12 @@
 	for _, p := range s.list() {
 		p.mu.Lock()
 		tenure := p.tenure
+		starting := !p.begun
 		p.mu.Unlock()
 		if tenure == 0 {
 			continue
 		}
-		item := message.BeatItem{Service: s.id, Partition: p.number, Tenure: tenure, Epoch: v.Epoch}
+		item := message.BeatItem{Service: s.id, Partition: p.number, Tenure: tenure, Epoch: v.Epoch, Starting: starting}
 		for _, witness := range v.allWitnesses() {
 			beat := beatFor(perWitness, witness)
 			beat.Items = append(beat.Items, item)
@@ -173,15 +174,20 @@
 	if c.without.Has(rule.AckFromSend) {
 		sent = now.Mono
 	}
+	quiet := make(map[int]time.Duration, len(reply.Quiet))
+	for _, q := range reply.Quiet {
+		quiet[q.Index] = q.For
+	}
 	for i, item := range beat.items {
 		if !refused[i] {
-			c.acknowledged(from, item, sent, now)
+			c.acknowledged(from, item, sent, quiet[i], now)
 		}
 	}
 }
 
-// acknowledged counts the acknowledgement of one tenure.
-func (c *Core) acknowledged(witness string, item beatItem, sent time.Duration, now Clock) {
+// acknowledged counts the acknowledgement of one tenure by a witness that has
+// been quiet for a time about lower ones.
+func (c *Core) acknowledged(witness string, item beatItem, sent, quiet time.Duration, now Clock) {
 	p := item.partition
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -189,6 +195,7 @@
 		return
 	}
 	p.lease.Acknowledge(witness, sent)
+	c.predecessorsEnded(p, now, quiet)
 	c.start(item.service, p, now)
 }
 
--- a/process/ownership/decide.go
+++ b/process/ownership/decide.go
@@ -17,7 +17,7 @@
 	movingRetry = 20 * time.Millisecond
 	// assignRetry is the time after which a service without an assignment is
 	// worth another try.
-	assignRetry = time.Second
+	assignRetry = 100 * time.Millisecond
 	// fullRetry is the time after which a full partition is worth another try.
 	fullRetry = time.Second
 )
@@ -36,7 +36,7 @@
 	}
 	s := (*c.services.Load())[r.Service]
 	if s == nil || s.view.Load() == nil {
-		return Decision{Verdict: Refused, Reason: ReasonNoAssignment, RetryAfter: assignRetry}
+		return Decision{Verdict: NotOwner, Reason: ReasonNoAssignment, RetryAfter: assignRetry}
 	}
 	list := s.list()
 	p := list[assignment.PartitionOf(r.Key, len(list))]
--- a/process/ownership/decision.go
+++ b/process/ownership/decision.go
@@ -11,8 +11,9 @@
 
 // Verdicts of Claim.
 const (
-	// NotOwner means that the request belongs to the node that Owner names. If
-	// RetryAfter is set, the partition is on its way there: try after that time.
+	// NotOwner means that the request belongs to the node that Owner names, or
+	// to one not known here yet if Owner is empty. If RetryAfter is set, the
+	// partition is on its way there: try after that time.
 	NotOwner Verdict = iota + 1
 	// Run means: dispatch the operation once, then Complete or Abort the ticket.
 	Run
@@ -42,7 +43,7 @@
 
 // Reasons of decisions.
 const (
-	ReasonNoAssignment  Reason = "no-assignment"  // the service has no ownership object yet
+	ReasonNoAssignment  Reason = "no-assignment"  // the service's ownership object is not known yet
 	ReasonNoLease       Reason = "no-lease"       // most witnesses haven't acknowledged lately
 	ReasonMoving        Reason = "moving"         // the partition is being handed over
 	ReasonFutureKey     Reason = "future-key"     // the key's time lies in the future
--- a/process/ownership/fence/fence.go
+++ b/process/ownership/fence/fence.go
@@ -3,8 +3,8 @@
 //
 // A UUIDv7 key carries the wall-clock time at which its caller made it; the
 // key is dated. Any other key is undated. An owner runs dated keys up to its
-// wall clock plus the skew, so a successor that begins later knows by the time
-// alone that no predecessor ran a key past its begin plus twice the skew.
+// wall clock plus the skew, so a successor knows by the time alone that no
+// predecessor ran a key past the end of its lease plus twice the skew.
 package fence
 
 import (
@@ -46,12 +46,12 @@
 	Undated time.Time
 }
 
-// After returns the fence of an owner whose tenure began at begin, without
-// knowledge of what its predecessor ran.
-func After(begin time.Time, skew, resendWindow time.Duration) Fence {
+// After returns the fence of an owner that doesn't know what its predecessors
+// ran. By its own wall clock, none of them had a lease at ended or later.
+func After(ended time.Time, skew, resendWindow time.Duration) Fence {
 	return Fence{
-		Dated:   begin.Add(2 * skew),
-		Undated: begin.Add(resendWindow + 2*skew),
+		Dated:   ended.Add(2 * skew),
+		Undated: ended.Add(resendWindow + 2*skew),
 	}
 }
 
--- a/process/ownership/internal/rule/rule.go
+++ b/process/ownership/internal/rule/rule.go
@@ -34,6 +34,11 @@
 	DatedFence
 	// UndatedFence: a successor doesn't run undated keys for a resend window.
 	UndatedFence
+	// QuietLower: a witness counts the time in which it was quiet from its last
+	// acknowledgement of a lower tenure.
+	QuietLower
+	// QuietEpoch: and from when it came to know of the epoch.
+	QuietEpoch
 	// FutureBound: an owner refuses keys from further in the future than the skew.
 	FutureBound
 	// OneClockRead: lease, future bound and fence are judged by one clock read.
--- a/process/ownership/message/message.go
+++ b/process/ownership/message/message.go
@@ -52,6 +52,9 @@
 	Tenure    uint64
 	// Epoch is the epoch of the witnesses that the sender counts.
 	Epoch uint64
+	// Starting is true as long as the tenure has not begun. The reply then says
+	// for how long the former ones have been quiet.
+	Starting bool
 }
 
 // Release tells that the sender won't use its tenure any more.
@@ -65,6 +68,17 @@
 type BeatReply struct {
 	Sequence uint64
 	Refused  []Refusal
+	// Quiet is given for acknowledged items that are starting.
+	Quiet []Quiet
+}
+
+// Quiet tells for how long a witness has surely not acknowledged any lower
+// tenure of a partition.
+type Quiet struct {
+	// Index is the position of the item in the beat.
+	Index int
+	// For is that time.
+	For time.Duration
 }
 
 // Refusal tells why an item of a beat is not acknowledged.
--- a/process/ownership/partition.go
+++ b/process/ownership/partition.go
@@ -27,6 +27,9 @@
 	// begun is true once the tenure had a lease, first at begin.
 	begun bool
 	begin time.Duration
+	// ended is a wall-clock time at which, by what the witnesses said, no former
+	// tenure had a lease any more.
+	ended time.Time
 	// inherited is true if the fence came with the predecessor's claims.
 	inherited bool
 	fence     fence.Fence
@@ -51,6 +54,7 @@
 	assigned := a.Partitions[p.number]
 	p.tenure = assigned.Tenure
 	p.begun = false
+	p.ended = time.Time{}
 	p.inherited = false
 	p.stopped = false
 	p.successor = ""
@@ -85,6 +89,25 @@
 	p.outgoing = nil
 }
 
+// predecessorsEnded takes in that a witness has been quiet for a time about
+// former tenures. Their leases counted for less than a term from its last
+// acknowledgement; most witnesses say so before this tenure begins, and one of
+// them is among those that any former lease needed. The witness's clock may run
+// fast by the margin. The caller holds p.mu.
+func (c *Core) predecessorsEnded(p *partition, now Clock, quiet time.Duration) {
+	if p.begun {
+		return
+	}
+	quiet = quiet * time.Duration(100-c.timing.MarginPercent) / 100
+	ended := now.Wall
+	if quiet > c.timing.Term {
+		ended = now.Wall.Add(c.timing.Term - quiet)
+	}
+	if ended.After(p.ended) {
+		p.ended = ended
+	}
+}
+
 // start begins the tenure if it has its first lease. The caller holds p.mu.
 func (c *Core) start(s *service, p *partition, now Clock) {
 	if p.begun || !p.lease.Valid(now.Mono) {
@@ -97,7 +120,7 @@
 	}
 	p.fence = fence.Fence{}
 	if p.tenure > 1 {
-		p.fence = fence.After(now.Wall, c.timing.Skew, s.window())
+		p.fence = fence.After(p.ended, c.timing.Skew, s.window())
 	}
 }
 
--- a/process/ownership/witness/witness.go
+++ b/process/ownership/witness/witness.go
@@ -40,6 +40,8 @@
 	// epoch is the highest epoch known, since epochSince.
 	epoch      uint64
 	epochSince time.Duration
+	// since is when the witness came to know the service.
+	since      time.Duration
 	lastUse    time.Duration
 	partitions []partition
 }
@@ -51,6 +53,8 @@
 	// acked is the last tenure acknowledged, at ackedAt. Zero means none.
 	acked   uint64
 	ackedAt time.Duration
+	// lowerAt is when a lower tenure was last acknowledged.
+	lowerAt time.Duration
 	// released is true if the owner gave the acked tenure up.
 	released bool
 }
@@ -73,6 +77,9 @@
 		s := c.use(item.Service, now)
 		refusal := c.judge(s, item, now)
 		if refusal == nil {
+			if item.Starting {
+				reply.Quiet = append(reply.Quiet, message.Quiet{Index: i, For: c.quiet(s, item.Partition, now)})
+			}
 			continue
 		}
 		refusal.Index = i
@@ -135,7 +142,7 @@
 		if len(c.services) >= MaxServices && !c.forget(now) {
 			return nil
 		}
-		s = &service{read: c.without.Has(rule.WitnessRead)}
+		s = &service{since: now, read: c.without.Has(rule.WitnessRead)}
 		c.services[name] = s
 	}
 	s.lastUse = now
@@ -179,12 +186,29 @@
 	if wait, ok := c.mayAcknowledge(p, item.Tenure, now); !ok {
 		return &message.Refusal{Wait: wait, Tenure: p.highest}
 	}
+	if p.acked != 0 && p.acked != item.Tenure {
+		p.lowerAt = p.ackedAt
+	}
 	p.acked = item.Tenure
 	p.ackedAt = now
 	p.released = false
 	return nil
 }
 
+// quiet returns for how long no lower tenure of a partition was acknowledged.
+// A witness knows nothing of the time before it started or came to know the
+// service; and what leases counted under a former epoch, it needn't know either.
+func (c *Core) quiet(s *service, number int, now time.Duration) time.Duration {
+	last := max(c.started, s.since)
+	if !c.without.Has(rule.QuietEpoch) {
+		last = max(last, s.epochSince)
+	}
+	if !c.without.Has(rule.QuietLower) {
+		last = max(last, s.partition(number).lowerAt)
+	}
+	return now - last
+}
+
 // mayAcknowledge reports whether a tenure may be acknowledged after the last
 // one, or after which time.
 func (c *Core) mayAcknowledge(p *partition, tenure uint64, now time.Duration) (time.Duration, bool) {
