Keep the slot of a cancelled request for a moment

When nobody waits for a request any more, such as the one of two hedged attempts that lost, the guard closes its connection and freed the slot at once; the target goes on with it until it sees that. A cold target that gets one more than it bears falls over from it.

Weighed: to let cancelled work run to its end, which is certain, but keeps targets busy with what nobody wants just when they are slow.

Change: the slot stays taken for 10 ms after a cancellation. It is a bound by time, not a proof: a target that takes longer to see a closed connection can still have one more for that long.

Taken out and seen to fail: the grace (cancellation keeps the slot for a grace).

--- a/node/build.go
+++ b/node/build.go
@@ -113,11 +113,12 @@
 		return err
 	}
 	n.guard = &guard{
-		self:       n.settings.Name,
-		admission:  core,
-		quarantine: n.quarantine,
-		spread:     n.peers.spreadQuarantine,
-		waiting:    newWaiting(slotWait),
+		self:        n.settings.Name,
+		admission:   core,
+		quarantine:  n.quarantine,
+		spread:      n.peers.spreadQuarantine,
+		waiting:     newWaiting(slotWait),
+		cancelGrace: cancelGrace,
 	}
 	core.SetOut(true, n.started)
 	n.target = &localTarget{
--- /dev/null
+++ b/node/cancel_test.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("cancellation", func() {
+	// cancelled sends a request and gives it up once the target runs it. It
+	// returns when the guard has given it up as well.
+	cancelled := func(grace time.Duration) *guard {
+		running := make(chan struct{})
+		p := newPath(func(_ http.ResponseWriter, r *http.Request) {
+			close(running)
+			<-r.Context().Done()
+		})
+		g := p.guards["n0"]
+		g.cancelGrace = grace
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.caller.URL+"/s/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "org.example"
+		go func() {
+			<-running
+			cancel()
+		}()
+		_, err = http.DefaultClient.Do(r)
+		Expect(err).To(HaveOccurred())
+		Eventually(p.ingress.metrics.cancelled.Count, "10s").Should(BeNumerically("==", 1))
+		return g
+	}
+
+	It("keeps the slot for a grace, since the target still sees to the request", func() {
+		Consistently(cancelled(time.Hour).admission.Idle, "300ms").Should(BeFalse())
+	})
+
+	It("frees the slot after the grace", func() {
+		Eventually(cancelled(time.Millisecond).admission.Idle, "10s").Should(BeTrue())
+	})
+})
--- a/node/guard.go
+++ b/node/guard.go
@@ -15,7 +15,11 @@
 	"verbenatrestle/request/quarantine"
 )
 
-const stepTarget = "send to target"
+const (
+	stepTarget = "send to target"
+	// cancelGrace is how long a cancelled request keeps its slot.
+	cancelGrace = 10 * time.Millisecond
+)
 
 // guard is the only way into the target beside the node: it admits a request
 // or refuses it, sends what it admitted, and tells admission of the end.
@@ -30,6 +34,9 @@
 	target atomic.Pointer[targetClient]
 	// waiting holds patient requests while the target is full.
 	waiting *waiting
+	// cancelGrace is how long a cancelled request keeps its slot, since the
+	// target goes on with it until it sees that the connection was closed.
+	cancelGrace time.Duration
 }
 
 // serve implements orderServer.
@@ -163,9 +170,11 @@
 // end tells admission and quarantine of the end, and adds the target's load.
 func (g *guard) end(t admission.Ticket, o *order, kind admission.Kind, instance string, res result) result {
 	now := time.Now()
-	crash := g.admission.Done(t, admission.Result{Kind: kind, Instance: instance}, now)
-	g.waiting.wake()
-	g.reportCrash(crash, now)
+	if kind == admission.Cancelled {
+		time.AfterFunc(g.cancelGrace, func() { g.done(t, kind, instance, now) })
+	} else {
+		g.done(t, kind, instance, now)
+	}
 	if kind == admission.Answered {
 		g.tell(g.quarantine.Complete(o.fingerprint, o.suspect, now))
 	}
@@ -174,6 +183,13 @@
 	return res
 }
 
+// done frees the slot of an attempt that ended at the given time.
+func (g *guard) done(t admission.Ticket, kind admission.Kind, instance string, at time.Time) {
+	crash := g.admission.Done(t, admission.Result{Kind: kind, Instance: instance}, at)
+	g.waiting.wake()
+	g.reportCrash(crash, at)
+}
+
 // reportCrash records a crash of the target, if there was one.
 func (g *guard) reportCrash(crash *admission.Crash, now time.Time) {
 	if crash == nil {
