Bound what the load on answers and the questions to targets take

Cause: the measuring budget existed but nothing spent from it. A node attaches the load to every answer and refusal of a hop, about 25 bytes each, so what measuring takes grew with traffic, and had no bound at a peak.

Change: the header spends from the node's budget in bytes and is left out when the budget has no room; the question to the target once a second has a part of its own, so that a peak does not end it. Bytes spent and denials are metrics.

Ruled out: one budget for both, since a peak of answers then leaves no room for the question (seen in the test).

--- a/node/build.go
+++ b/node/build.go
@@ -121,11 +121,13 @@
 		cancelGrace: cancelGrace,
 	}
 	core.SetOut(true, n.started)
+	n.measuring = newMeasuring(n.settings.Budgets, n.registry, n.started)
 	n.target = &localTarget{
-		self:    n.settings.Name,
-		guard:   n.guard,
-		logger:  n.logger,
-		changed: n.targetChanged,
+		measuring: n.measuring,
+		self:      n.settings.Name,
+		guard:     n.guard,
+		logger:    n.logger,
+		changed:   n.targetChanged,
 	}
 	n.guard.broken = n.target.checkCrash
 	return nil
@@ -219,12 +221,13 @@
 	n.servers = newServers(n.settings, n.logger, handlers{
 		callers: n.ingress,
 		hop: &hopServer{
-			self:     n.settings.Name,
-			key:      n.settings.Secrets.PeerKey,
-			snapshot: n.config.snapshot,
-			guard:    n.guard,
-			owner:    n.owner,
-			versions: n.versions,
+			self:      n.settings.Name,
+			key:       n.settings.Secrets.PeerKey,
+			snapshot:  n.config.snapshot,
+			guard:     n.guard,
+			owner:     n.owner,
+			versions:  n.versions,
+			measuring: n.measuring,
 		},
 		admin:    n.adminHandler(),
 		announce: (&announceServer{local: n.target}).handler(),
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -22,6 +22,8 @@
 	guard    orderServer
 	owner    orderServer
 	versions http.Handler
+	// measuring bounds what the load on answers takes.
+	measuring *measuring
 }
 
 // orderServer serves an order that came over a hop or from this node.
@@ -48,7 +50,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), o.deadline.Time())
 	defer cancel()
 	res := s.server(r.Header.Get(request.HeaderHop)).serve(ctx, o)
-	writeHopResult(w, res)
+	s.writeHopResult(w, res)
 }
 
 // sameSecret compares secrets in constant time.
@@ -65,9 +67,9 @@
 }
 
 // writeHopResult sends an answer or failure with the load of the guard.
-func writeHopResult(w http.ResponseWriter, res result) {
+func (s *hopServer) writeHopResult(w http.ResponseWriter, res result) {
 	if res.sampled {
-		w.Header().Set(request.HeaderLoad, res.sample.Header())
+		s.measuring.attach(w.Header(), res.sample)
 	}
 	if res.owner != "" {
 		w.Header().Set(headerOwner, res.owner)
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -40,6 +40,8 @@
 	self   string
 	guard  *guard
 	logger log.Logger
+	// measuring bounds the questions about the target's load.
+	measuring *measuring
 	// changed tells membership of the target's announcement and state.
 	changed func(announcement, load.State)
 
@@ -176,7 +178,7 @@
 // askReport asks the target for its load, which may only lower limits.
 func (t *localTarget) askReport(ctx context.Context) {
 	client := t.guard.target.Load()
-	if client == nil {
+	if client == nil || !t.measuring.mayAsk(time.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- /dev/null
+++ b/node/measuring_test.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"verbenatrestle/connection/load"
+	"verbenatrestle/request"
+)
+
+func TestLoadOnAnswersStaysWithinTheBudgetAtAPeak(t *testing.T) {
+	const perSecond = 4096
+	start := time.Now()
+	m := newMeasuring(Budgets{ProbeMessages: 20, ProbeBytes: perSecond}, metrics.NewRegistry(), start)
+	sent := 0
+	for range 100_000 {
+		h := make(http.Header)
+		m.attach(h, load.Sample{InFlight: 19, Limit: 20, Latency: time.Second, State: load.Warm})
+		if value := h.Get(request.HeaderLoad); value != "" {
+			sent += loadHeaderBytes + len(value)
+		}
+	}
+	bound := perSecond * (1 + time.Since(start).Seconds())
+	if sent == 0 || float64(sent) > bound || m.bytes.Count() != int64(sent) {
+		t.Fatalf("sent %d bytes, counted %d, bound %.0f", sent, m.bytes.Count(), bound)
+	}
+	if !m.mayAsk(time.Now()) {
+		t.Fatal("the peak leaves no room to ask the target")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,7 @@
 	quarantine *quarantine.Table
 	limiter    *request.Limiter
 	budgets    *budgets
+	measuring  *measuring
 	links      *peerlink.Links
 	peers      *peers
 	directory  *directory
--- a/node/settings.go
+++ b/node/settings.go
@@ -100,7 +100,8 @@
 	// ProbeMessages is how many load probes a second the node may send.
 	// Default 20.
 	ProbeMessages float64 `yaml:"probe_messages"`
-	// ProbeBytes is how many bytes a second load probes may take. Default 4096.
+	// ProbeBytes is how many bytes a second load probes and the load on answers
+	// may take. Default 4096.
 	ProbeBytes float64 `yaml:"probe_bytes"`
 	// RetryShare is the share of successes that retries may add, 0 to 1.
 	// Default 0.1.
--- a/request/measuring.go
+++ b/request/measuring.go
@@ -6,7 +6,7 @@
 )
 
 // MeasuringPolicy bounds what a node spends on measuring the load of targets
-// by messages of their own, such as probes.
+// by messages of their own, such as probes, and by what rides on others.
 type MeasuringPolicy struct {
 	// MessagesPerSecond and BurstMessages bound the messages.
 	MessagesPerSecond float64
@@ -80,6 +80,21 @@
 	return true
 }
 
+// Attach spends so many bytes that ride on a message which is sent anyway, if
+// the budget has them.
+func (b *MeasuringBudget) Attach(now time.Time, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bytes.advance(now)
+	if bytes < 0 || b.bytes.tokens < float64(bytes) {
+		b.spent.Denied++
+		return false
+	}
+	b.bytes.take(now, float64(bytes))
+	b.spent.Bytes += int64(bytes)
+	return true
+}
+
 // ChargeCPU takes processor time that an allowed message turned out to cost.
 func (b *MeasuringBudget) ChargeCPU(now time.Time, cost time.Duration) {
 	b.mu.Lock()
