Hold the metrics of the operators' page against the code

The page lagged behind: the measuring budget is now spent, a successor fences from the end of its predecessor's lease, and a request is quarantined once it alone was in flight at two crashes. Nothing measured.

--- a/node/settings_page_test.go
+++ b/node/page_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"os"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 // operatorsPage is the page that tells operators of every setting.
@@ -66,3 +69,32 @@
 		t.Errorf("the page does not tell of the setting %s", path)
 	})
 }
+
+// named are the names in backquotes on the page; "<...>" ends a name that
+// stands for several.
+var named = regexp.MustCompile("`(vt_[a-z_]+)(<[a-z]+>)?`")
+
+func TestPageTellsEveryMetric(t *testing.T) {
+	page, err := os.ReadFile(operatorsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, err := ParseSettings([]byte(goodSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(settings, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.registry.Each(func(name string, _ any) {
+		name = "vt_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		for _, match := range named.FindAllStringSubmatch(string(page), -1) {
+			whole := match[2] == "" && strings.TrimSuffix(match[1], "_seconds") == name
+			if whole || match[2] != "" && strings.HasPrefix(name, match[1]) {
+				return
+			}
+		}
+		t.Errorf("the page does not tell of the metric %s", name)
+	})
+}
