Pass over targets twice as slow as their service, and use one default score

Candidates up to three times slower than the harmonic mean still had room, so the local data centre's slow target went on getting work. And the node's default score was not that of the balancing package.

Change: the bound is twice the mean. The node takes its defaults from the packages that hold the policies and limits.

--- a/node/settings.go
+++ b/node/settings.go
@@ -8,12 +8,15 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
+
+	"verbenatrestle/process/admission/limit"
+	"verbenatrestle/request/balance"
 )
 
 // Defaults of Settings.
 const (
-	defaultPolicy            = "utilisation"
-	defaultLimit             = "gradient"
+	defaultPolicy            = balance.Default
+	defaultLimit             = limit.Default
 	defaultTerm              = 2 * time.Second
 	defaultSkew              = 250 * time.Millisecond
 	defaultGossipPeriod      = 500 * time.Millisecond
@@ -145,7 +148,7 @@
 	Budgets Budgets `yaml:"budgets"`
 	// Limits bounds memory for requests.
 	Limits Limits `yaml:"limits"`
-	// Policy names the balancing policy. Default "utilisation".
+	// Policy names the balancing policy. Default "expectedwait".
 	Policy string `yaml:"policy"`
 	// AdmissionLimit names the adaptive admission limit. Default "gradient".
 	AdmissionLimit string `yaml:"admission_limit"`
--- a/request/balance/scored.go
+++ b/request/balance/scored.go
@@ -11,7 +11,7 @@
 	// slowFactor is how many times the service's harmonic mean latency still
 	// counts as usual. That mean follows the quick endpoints, and even if half
 	// of a service slows down by much, it stays near the other half.
-	slowFactor = 3
+	slowFactor = 2
 	// slowAllowance is added to that, so that tiny latencies don't count as slow.
 	slowAllowance = time.Millisecond
 	// failurePenalty is how many times worse a candidate that always fails
