Add a scenario with uneven targets to the measurement

Change: uneven, not among the defaults: the first target of each service works three times longer.

Nothing measured with it yet.

--- a/internal/bench/doc.go
+++ b/internal/bench/doc.go
@@ -14,5 +14,6 @@
 //     spells of 20 to 200 ms each;
 //   - failfast: one target answers errors at once;
 //   - coldreturn: the targets of one data centre turn cold without warning;
-//   - overload: nothing happens but for more load than the targets can bear.
+//   - overload: nothing happens but for more load than the targets can bear;
+//   - uneven: one target of each service is slow for good.
 package bench
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -16,14 +16,17 @@
 	FailFast   Scenario = "failfast"
 	ColdReturn Scenario = "coldreturn"
 	Overload   Scenario = "overload"
+	Uneven     Scenario = "uneven"
 )
 
 // Scenarios lists the scenarios in the order of the tables.
-var Scenarios = []Scenario{Steady, Noisy, FailFast, ColdReturn, Overload}
+var Scenarios = []Scenario{Steady, Noisy, FailFast, ColdReturn, Overload, Uneven}
 
 const (
 	// slowFactor is how many times longer work takes in a spell.
 	slowFactor = 8
+	// unevenFactor is how many times longer it takes on uneven targets.
+	unevenFactor = 3
 	// shortestSpell and longestSpell bound the uniform lengths of spells.
 	shortestSpell = 20 * time.Millisecond
 	longestSpell  = 200 * time.Millisecond
@@ -71,11 +74,26 @@
 		return []event{{at: at, target: rng.IntN(len(places)), change: control{FailFast: new(true)}}}
 	case ColdReturn:
 		return coldEvents(places, at, rng)
+	case Uneven:
+		return unevenEvents(places)
 	default:
 		return nil
 	}
 }
 
+// unevenEvents makes the first target of each service slow for good.
+func unevenEvents(places []Place) []event {
+	seen := make(map[string]bool)
+	var events []event
+	for i, p := range places {
+		if !seen[p.Service] {
+			events = append(events, event{target: i, change: control{SlowFactor: new(float64(unevenFactor))}})
+		}
+		seen[p.Service] = true
+	}
+	return events
+}
+
 // coldEvents turns the targets of one data centre cold. A data centre that has
 // more than one target of a service is left out while there is another.
 func coldEvents(places []Place, at time.Duration, rng *rand.Rand) []event {
--- a/internal/bench/schedule_test.go
+++ b/internal/bench/schedule_test.go
@@ -75,3 +75,15 @@
 		}
 	})
 }
+
+func TestOneTargetOfEachServiceIsUneven(t *testing.T) {
+	places := thirteen()
+	services := make(map[string]int)
+	for _, e := range schedule(Uneven, places, time.Minute, 7) {
+		services[places[e.target].Service]++
+	}
+	want := map[string]int{"s0": 1, "s1": 1, "s2": 1, "s3": 1}
+	if !reflect.DeepEqual(services, want) {
+		t.Fatalf("targets by service %v", services)
+	}
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,7 +6,7 @@
 #   POLICIES   policies to compare; "ours" is the node's default. A name may
 #              carry settings: NAME+KEY=VALUE, as in ours+admission_limit=vegas
 #   LIMITS     adaptive limits; each is compared under the node's default policy
-#   SCENARIOS  steady noisy failfast coldreturn overload
+#   SCENARIOS  steady noisy failfast coldreturn overload (default), uneven
 #   SECONDS_PER_ROUND, ROUNDS   length and number of the rounds of each policy
 #   SEED       seed of the operations, service times and disturbances
 #   RATE       share of the capacity, instead of each scenario's own
@@ -50,7 +50,7 @@
 share() {
   case $1 in
     steady) echo "${RATE_SHARE:-0.7}" ;;
-    noisy | failfast) echo "${RATE_SHARE:-0.5}" ;;
+    noisy | failfast | uneven) echo "${RATE_SHARE:-0.5}" ;;
     coldreturn) echo "${RATE_SHARE:-0.55}" ;;
     overload) echo "${RATE_SHARE:-1.5}" ;;
   esac
