--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -6,13 +6,15 @@
 # target's own time for each path, and how much that is more than directly.
 #
 # RATE is the requests per second of all paths together, DURATION the seconds
-# of the measurement, WARMUP those of a load before it that is not counted.
+# of the measurement, WARMUP those of a load before it that is not counted,
+# SERVICE_TIME the mean time that targets work on a request.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 NET=${NET:-127.6}
 source scripts/lib.sh
 
 readonly TOTAL_RATE=${RATE:-1000} DURATION=${DURATION:-60} WARMUP=${WARMUP:-10} SEED=${SEED:-20261203}
+readonly SERVICE_TIME=${SERVICE_TIME:-2ms}
 readonly PROTOCOLS=(http1 h2c)
 readonly LOOKUP_SERVICE=register-viewing FILING_SERVICE=certification SPREAD_SERVICE=entry-filing
 # LOOKUP_BYTES, FILING_BYTES and ANSWER_BYTES are sizes of bodies in bytes.
@@ -109,7 +111,7 @@
   done
   for node in "${NODES[@]}"; do
     [[ ${SERVICE_OF[$node]} != none ]] || continue
-    ORG=overhead-$(protocol_of "$node") start_target "$node" -start-warm
+    ORG=overhead-$(protocol_of "$node") start_target "$node" -start-warm -service-time "$SERVICE_TIME"
   done
   wait_ready
   for protocol in "${PROTOCOLS[@]}"; do organisation "$protocol" >"$OUT/$protocol-organisation.yaml"; done
