Keep leases and the number of witnesses when witnesses change

A search of 1,440 histories found a key refused for want of a lease 25 s after the last fault. Two causes, both seen in that history:

A node that was cut off from most others but not from the platform replaced the witnesses by itself alone. Witnesses now never become fewer.

When the witnesses changed, the owner's lease ended at once, until the new ones had acknowledged: up to a beat period of refusals at each change. What the former witnesses gave now stays until its end; an owner that has not heard of the change has it as well, so safety does not depend on ending it. The owner beats at once, and a witness that still has to read the object says when to ask again.

Besides, a tenure that has not begun counts no acknowledgement of an earlier epoch: the fence rests on what the witnesses said of former leases, and that holds only for the set of that epoch. Found by reasoning, not by a history.

The scenes that replace witnesses now have nine nodes or more, since fewer can't replace most of them.

--- a/process/ownership/beats.go
+++ b/process/ownership/beats.go
@@ -40,6 +40,7 @@
 	service   *service
 	partition *partition
 	tenure    uint64
+	epoch     uint64
 }
 
 // release is a tenure that is being released.
@@ -106,7 +107,7 @@
 		for _, witness := range v.allWitnesses() {
 			beat := beatFor(perWitness, witness)
 			beat.Items = append(beat.Items, item)
-			items[witness] = append(items[witness], beatItem{service: s, partition: p, tenure: tenure})
+			items[witness] = append(items[witness], beatItem{service: s, partition: p, tenure: tenure, epoch: v.Epoch})
 		}
 	}
 }
@@ -191,7 +192,7 @@
 	p := item.partition
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.tenure != item.tenure {
+	if p.tenure != item.tenure || !p.begun && p.epoch != item.epoch {
 		return
 	}
 	p.lease.Acknowledge(witness, sent)
--- a/process/ownership/epoch.go
+++ b/process/ownership/epoch.go
@@ -116,14 +116,15 @@
 }
 
 // wantedWitnesses returns the present witnesses if they may stay, else those
-// that should take their place.
+// that should take their place. Witnesses never become fewer: a node that is
+// cut off from most others must not end up as the only witness.
 func (c *Core) wantedWitnesses(s *service, v *view) []string {
 	missing := slices.ContainsFunc(v.Witnesses, func(witness string) bool {
 		m, ok := c.members[witness]
 		return !ok || !c.mayTakePart(m)
 	})
 	wanted := assignment.ChooseWitnesses(s.id, v.Witnesses, c.witnesses, assignment.DefaultWitnesses)
-	if !missing && len(wanted) <= len(v.Witnesses) || len(wanted) == 0 {
+	if len(wanted) < len(v.Witnesses) || !missing && len(wanted) == len(v.Witnesses) {
 		return v.Witnesses
 	}
 	return wanted
--- a/process/ownership/history_test.go
+++ b/process/ownership/history_test.go
@@ -54,6 +54,8 @@
 	// scene, or after it.
 	shortGrace = 4 * time.Second
 	longGrace  = 30 * time.Second
+	// wideNodes is enough nodes to replace most witnesses.
+	wideNodes = 9
 )
 
 // histories draws histories of the scenes.
@@ -110,9 +112,11 @@
 		fault(faultPause, presentOwner, after, 5*second, 10*second)
 		fault(faultBounce, presentOwner, after+span(t, "then", 0, 300*time.Millisecond), 10*time.Millisecond, 300*time.Millisecond)
 	case sceneTwoSides:
+		h.nodes = max(h.nodes, wideNodes)
 		h.grace = shortGrace
 		fault(faultHalves, presentOwner, 0, 12*second, 18*second)
 	case sceneReplaced:
+		h.nodes = max(h.nodes, wideNodes)
 		h.grace = shortGrace
 		fault(faultNoNews, presentOwner, 0, 24*second, 28*second)
 		fault(faultOthersOut, presentOwner, span(t, "after", 0, second), 16*second, 20*second)
--- a/process/ownership/lease/lease.go
+++ b/process/ownership/lease/lease.go
@@ -25,7 +25,8 @@
 }
 
 // SetWitnesses tells whose acknowledgements count. If previous is not empty,
-// a majority of both sets is needed.
+// a majority of both sets is needed. What the former witnesses gave already
+// stays: an owner that has not heard of the change has it as well.
 func (l *Lease) SetWitnesses(witnesses, previous []string) {
 	l.witnesses = witnesses
 	l.previous = previous
@@ -58,8 +59,10 @@
 		before, ok = l.majority(l.previous)
 		sent = min(sent, before)
 	}
-	l.valid = ok
-	l.until = sent + l.length
+	if ok && sent+l.length > l.until {
+		l.valid = true
+		l.until = sent + l.length
+	}
 }
 
 // majority returns the latest time such that most of the set acknowledged a
--- a/process/ownership/lease/lease_test.go
+++ b/process/ownership/lease/lease_test.go
@@ -43,3 +43,20 @@
 		}
 	}
 }
+
+// TestLeaseOutlastsChange shows that a change of witnesses doesn't end a lease
+// before its time, and doesn't prolong it.
+func TestLeaseOutlastsChange(t *testing.T) {
+	l := New(10 * time.Second)
+	l.SetWitnesses([]string{"a"}, nil)
+	l.Acknowledge("a", 5*time.Second)
+	l.SetWitnesses([]string{"b"}, []string{"a"})
+	l.Acknowledge("a", 7*time.Second)
+	if until, ok := l.Until(); !ok || until != 15*time.Second {
+		t.Errorf("until %v %v", until, ok)
+	}
+	l.Acknowledge("b", 6*time.Second)
+	if until, _ := l.Until(); until != 16*time.Second {
+		t.Errorf("until %v", until)
+	}
+}
--- /dev/null
+++ b/process/ownership/network_test.go
@@ -0,0 +1,155 @@
+package ownership
+
+import (
+	"time"
+
+	"verbenatrestle/process/ownership/assignment"
+	"verbenatrestle/process/ownership/internal/rule"
+	"verbenatrestle/process/ownership/message"
+)
+
+// send sends a message between cores; it may be lost, late or doubled.
+func (w *world) send(from *process, to string, m any) {
+	target := w.find(to)
+	if _, news := m.(*message.Assigned); target == nil || news && target.noNews {
+		return
+	}
+	copies := 1
+	if w.cond.lossPercent > 0 && w.rng.IntN(20) == 0 {
+		copies = 2
+	}
+	for range copies {
+		w.deliver(from, target, func() {
+			out, _ := target.core.Handle(from.name, m, w.clock(target))
+			w.do(target, out)
+		})
+	}
+}
+
+// deliver lets something happen at another node if the network lets it through.
+func (w *world) deliver(from, to *process, do func()) {
+	if from == to {
+		w.later(to, 0, do)
+		return
+	}
+	d, lost := w.latency()
+	if lost || w.cut[[2]string{from.name, to.name}] {
+		return
+	}
+	w.later(to, d, do)
+}
+
+// put is a conditional write. Its answer may be lost, and it may land late.
+func (w *world) put(n *process, p Proposal) {
+	settle := func(d time.Duration, end Settlement) {
+		end.ID = p.ID
+		end.Service = p.Service
+		w.later(n, d, func() {
+			out, err := n.core.Settle(end, w.clock(n))
+			w.check(err == nil, "settle: %v", err)
+			w.do(n, out)
+		})
+	}
+	there := 2*time.Millisecond + w.duration(10*time.Millisecond)
+	if w.cond.platformDown || n.noPlatform {
+		if w.rng.IntN(2) == 0 {
+			settle(there, Settlement{Outcome: Failed})
+			return
+		}
+		settle(time.Second, Settlement{Outcome: Uncertain})
+		return
+	}
+	if w.cond.writesLate {
+		w.after(w.duration(4*time.Second), func() { w.land(p) })
+		settle(time.Second, Settlement{Outcome: Uncertain})
+		return
+	}
+	w.after(there, func() {
+		landed := w.land(p)
+		if w.cond.answersLost && w.rng.IntN(2) == 0 {
+			settle(time.Second, Settlement{Outcome: Uncertain})
+			return
+		}
+		if landed {
+			settle(there, Settlement{Outcome: Written, Version: w.platform.version})
+			return
+		}
+		settle(there, Settlement{Outcome: Conflict, Version: w.platform.version, Value: w.platform.value})
+	})
+}
+
+// land lets a write take effect if its condition holds.
+func (w *world) land(p Proposal) bool {
+	if w.platform.version != p.IfVersion {
+		return false
+	}
+	w.platform.version += 1 + uint64(w.rng.IntN(3))
+	w.platform.value = p.Value
+	w.states = append(w.states, pastState{at: w.now, object: w.platform})
+	for _, n := range w.nodes {
+		w.later(n, 5*time.Millisecond+w.duration(50*time.Millisecond), func() { w.learn(n, w.platform) })
+	}
+	if w.bounceNext {
+		w.bounceNext = false
+		w.after(w.duration(300*time.Millisecond), func() { w.after(w.duration(200*time.Millisecond), w.killAll(w.others(3)...)) })
+	}
+	a, err := assignment.Decode(p.Value)
+	w.check(err == nil, "decode: %v", err)
+	if err == nil {
+		w.counts["epoch"] = int(a.Epoch)
+		for _, part := range a.Partitions {
+			w.counts["tenure"] = max(w.counts["tenure"], int(part.Tenure))
+			if part.Handover != nil {
+				w.counts["handover"]++
+			}
+		}
+	}
+	return true
+}
+
+// learn tells a node of the object as a watch does.
+func (w *world) learn(n *process, object modelPlatform) {
+	if w.cond.platformDown || n.noPlatform || object.version == 0 {
+		return
+	}
+	out, err := n.core.Observe(modelService, object.version, object.value, w.clock(n))
+	w.check(err == nil, "observe: %v", err)
+	w.do(n, out)
+}
+
+func (w *world) relist() {
+	w.after(modelRelist, w.relist)
+	for _, n := range w.nodes {
+		w.later(n, w.duration(modelRelist), func() { w.learn(n, w.platform) })
+	}
+}
+
+// visible returns the object as a read shows it: as it is, or as it was some
+// time ago if reads may be stale.
+func (w *world) visible() modelPlatform {
+	if !w.without.Has(rule.CurrentRead) {
+		return w.platform
+	}
+	stale := w.platform
+	for _, state := range w.states {
+		if state.at <= w.now-modelStale {
+			stale = state.object
+		}
+	}
+	return stale
+}
+
+// read reads the object for a node. The answer may be late.
+func (w *world) read(n *process, service string) {
+	d := 2*time.Millisecond + w.duration(10*time.Millisecond)
+	if w.cond.delayMax > 0 {
+		d += w.duration(w.cond.delayMax)
+	}
+	failed := w.cond.platformDown || n.noPlatform
+	object := w.visible()
+	w.later(n, d, func() {
+		out, err := n.core.Read(service, object.version, object.value, failed, w.clock(n))
+		w.check(err == nil, "read: %v", err)
+		w.do(n, out)
+	})
+}
--- a/process/ownership/partition.go
+++ b/process/ownership/partition.go
@@ -24,6 +24,10 @@
 	forgotten time.Time
 	// tenure is the tenure that this process has, or 0.
 	tenure uint64
+	// epoch is the epoch of the witnesses that count. A tenure that has not
+	// begun counts no acknowledgement of an earlier epoch: what the witness
+	// said of former tenures would not hold for the present set.
+	epoch uint64
 	// begun is true once the tenure had a lease, first at begin.
 	begun bool
 	begin time.Duration
@@ -54,13 +58,11 @@
 	assigned := a.Partitions[p.number]
 	p.tenure = assigned.Tenure
 	p.begun = false
-	p.ended = time.Time{}
 	p.inherited = false
 	p.stopped = false
 	p.successor = ""
 	p.outgoing = nil
-	p.lease = lease.New(c.timing.Lease())
-	p.lease.SetWitnesses(a.Witnesses, a.PreviousWitnesses)
+	c.countWitnesses(p, a)
 	if p.table == nil {
 		p.table = claim.NewTable(c.limits, c.incarnation)
 	}
@@ -68,7 +70,18 @@
 		p.source = assigned.Handover.From
 		p.sourceLife = c.members[p.source].Incarnation
 	}
-	c.beats.next = min(c.beats.next, now.Mono)
+}
+
+// countWitnesses makes the witnesses of the assignment count. The caller holds
+// p.mu.
+func (c *Core) countWitnesses(p *partition, a *assignment.Assignment) {
+	if !p.begun {
+		p.lease = lease.New(c.timing.Lease())
+		p.ended = time.Time{}
+	}
+	c.beats.next = 0
+	p.epoch = a.Epoch
+	p.lease.SetWitnesses(a.Witnesses, a.PreviousWitnesses)
 }
 
 // leave ends the tenure of this process and releases it: from here on nothing
--- a/process/ownership/service.go
+++ b/process/ownership/service.go
@@ -132,8 +132,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
+	case mine && p.tenure == assigned.Tenure && p.epoch == a.Epoch:
 	case mine && p.tenure == assigned.Tenure:
-		p.lease.SetWitnesses(a.Witnesses, a.PreviousWitnesses)
+		c.countWitnesses(p, a)
 	case mine:
 		c.enter(s, p, a, now)
 	case p.tenure != 0:
--- a/process/ownership/witness/witness.go
+++ b/process/ownership/witness/witness.go
@@ -21,6 +21,8 @@
 	// forgetAfter is the time without a beat or read after which a witness may
 	// forget a service in favour of another.
 	forgetAfter = time.Hour
+	// readWait is the time after which an object has mostly been read.
+	readWait = 50 * time.Millisecond
 )
 
 // Core is the state of a witness. It is safe for concurrent use.
@@ -166,7 +168,7 @@
 		return &message.Refusal{}
 	}
 	if !s.read {
-		return &message.Refusal{}
+		return &message.Refusal{Wait: readWait}
 	}
 	if item.Epoch < s.epoch && !c.without.Has(rule.WitnessEpoch) {
 		return &message.Refusal{Epoch: s.epoch}
