Share a full target between the services that call it

Cause: the guard counted every request under the target's own service, so all callers were one and the fair share had no effect. Ruled out: a header of the caller's choice (anyone could pose as another), and the organisation alone (a target serves one). Change: the ingress takes the service beside it as the caller, since a service's own calls come in at its node; hops carry it to the guard. Callers from outside use the share of the node that they came to. Seen to fail with the order's caller left out of the hop: "the share of a full target is that of the ingress's service". Nothing timed was measured.

--- a/node/build.go
+++ b/node/build.go
@@ -175,6 +175,7 @@
 		self:       n.settings.Name,
 		settings:   n.settings.Limits,
 		snapshot:   n.config.snapshot,
+		caller:     n.target.service,
 		limiter:    n.limiter,
 		quarantine: n.quarantine,
 		idempotent: dispatch.dispatch,
--- a/node/guard.go
+++ b/node/guard.go
@@ -60,7 +60,7 @@
 // admit asks admission to let the order in.
 func (g *guard) admit(o *order, now time.Time) (admission.Ticket, *admission.Refusal) {
 	return g.admission.Admit(admission.Request{
-		Caller:      request.ShareKey{Organisation: o.service.ID.Organisation(), Service: o.service.ID.Name()},
+		Caller:      request.ShareKey{Organisation: o.caller.Organisation(), Service: o.caller.Name()},
 		Fingerprint: o.fingerprint,
 		Suspect:     o.suspect || g.suspects(o, now),
 		Expiry:      o.expiry,
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -123,6 +123,7 @@
 		id:          h.Get(request.HeaderRequestID),
 		service:     service,
 		route:       route,
+		caller:      version.ServiceID(h.Get(request.HeaderCaller)),
 		method:      r.Method,
 		uri:         r.URL.RequestURI(),
 		header:      endToEnd(h),
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -21,9 +21,12 @@
 
 // ingress answers callers.
 type ingress struct {
-	self       string
-	settings   Limits
-	snapshot   func() *version.Snapshot
+	self     string
+	settings Limits
+	snapshot func() *version.Snapshot
+	// caller returns the service beside this node, whose calls come in here.
+	// Callers from outside use its share as well.
+	caller     func() version.ServiceID
 	limiter    *request.Limiter
 	quarantine *quarantine.Table
 	// idempotent runs requests that may be run again, owned the others.
@@ -119,6 +122,7 @@
 		id:       uuid.NewString(),
 		service:  service,
 		route:    route,
+		caller:   g.caller(),
 		method:   r.Method,
 		uri:      r.URL.RequestURI(),
 		header:   endToEnd(r.Header),
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -97,6 +97,16 @@
 	t.guard.admission.SetConnections(0)
 }
 
+// service returns the service that the target announced, "" before that.
+func (t *localTarget) service() version.ServiceID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.last.Service == "" {
+		return ""
+	}
+	return t.last.service()
+}
+
 // setLimits puts the configured limits of the target's service in force.
 func (t *localTarget) setLimits(s *version.Snapshot) {
 	t.mu.Lock()
--- a/node/order.go
+++ b/node/order.go
@@ -21,6 +21,8 @@
 	// service and route are what the request is for.
 	service *version.Service
 	route   *version.Route
+	// caller is whose share of a full target the request uses.
+	caller version.ServiceID
 	// method and uri are as the caller sent them.
 	method string
 	uri    string
@@ -87,6 +89,7 @@
 	h.Set(request.HeaderHop, hop)
 	h.Set(request.HeaderService, string(o.service.ID))
 	h.Set(request.HeaderRoute, o.route.Name)
+	h.Set(request.HeaderCaller, string(o.caller))
 	h.Set(headerFingerprint, o.fingerprint.String())
 	if o.suspect {
 		h.Set(request.HeaderSuspect, "1")
@@ -112,6 +115,7 @@
 	request.HeaderHop,
 	request.HeaderService,
 	request.HeaderRoute,
+	request.HeaderCaller,
 	request.HeaderSuspect,
 	request.HeaderExpiry,
 	request.HeaderLoad,
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -94,6 +94,7 @@
 		self:       "ingress",
 		settings:   Limits{MaxBodyBytes: 1 << 20, MaxCallerInFlight: 100},
 		snapshot:   current,
+		caller:     func() version.ServiceID { return "org/team" },
 		limiter:    request.NewLimiter(),
 		quarantine: quarantine.New(quarantine.DefaultSettings),
 		idempotent: d.dispatch,
@@ -313,6 +314,32 @@
 	})
 })
 
+// orderTaker remembers the last order that it was given.
+type orderTaker struct{ last *order }
+
+func (t *orderTaker) serve(_ context.Context, o *order) result {
+	t.last = o
+	return result{answer: &answer{status: http.StatusOK, header: http.Header{}}}
+}
+
+var _ = Describe("the share of a full target", func() {
+	It("is that of the ingress's service, whatever the caller says", func() {
+		p := newPath(echo)
+		taker := &orderTaker{}
+		hop := httptest.NewServer(&hopServer{self: "n0", key: testPeerKey, snapshot: p.ingress.snapshot, guard: taker})
+		defer hop.Close()
+		address := strings.TrimPrefix(hop.URL, "http://")
+		hops := newHopClient(HopHTTP1, testPeerKey, func(string) (string, bool) { return address, true })
+		p.ingress.idempotent = func(ctx context.Context, o *order) result {
+			return hops.send(ctx, "n0", request.HopGuard, o)
+		}
+		status, _, _ := p.call(http.MethodGet, "/s/peaks", "", map[string]string{request.HeaderCaller: "org/greedy"})
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(taker.last.caller).To(Equal(version.ServiceID("org/team")))
+		Expect(taker.last.header).NotTo(HaveKey(request.HeaderCaller))
+	})
+})
+
 var _ = Describe("bad input", func() {
 	DescribeTable("is answered as not run, with a clear error",
 		func(method, target, body string, header map[string]string, status int, title string) {
--- a/request/header.go
+++ b/request/header.go
@@ -15,6 +15,9 @@
 	HeaderLoad = "Vt-Load"
 	// HeaderService is the version.ServiceID that a hop between nodes is for.
 	HeaderService = "Vt-Service"
+	// HeaderCaller is the version.ServiceID whose share of a full target a hop
+	// between nodes uses.
+	HeaderCaller = "Vt-Caller"
 	// HeaderRoute is the name of the route that a hop between nodes is for.
 	HeaderRoute = "Vt-Route"
 	// HeaderHop tells the receiving node its role: HopGuard or HopOwner.
