--- a/scripts/trial.sh
+++ b/scripts/trial.sh
@@ -61,7 +61,7 @@
   local status=$? i
   trap - EXIT
   [[ -n ${judged:-} ]] || { echo "${trial_name:-trial}: FAILED (broke off)"; show_logs; }
-  [[ -z ${KEEP:-} ]] || { mkdir -p "$KEEP" && cp -r "$OUT/." "$KEEP/"; }
+  [[ -z ${KEEP:-} ]] || keep_logs
   for i in "${!pids[@]}"; do
     kill -KILL "${pids[i]}" 2>/dev/null || true
     wait "${pids[i]}" 2>/dev/null || true
@@ -70,6 +70,13 @@
   exit "$status"
 }
 
+# keep_logs copies settings, logs and report to a directory of KEEP.
+keep_logs() {
+  local directory=$KEEP/${trial_name// /-}
+  mkdir -p "$directory"
+  cp -r "$OUT/." "$directory/"
+}
+
 # load_command SECONDS SEED FLAGS... runs the load generator.
 load_command() {
   local seconds=$1 seed=$2
