Add the measure of capacity

Cause: what a node and the platform bear at 1,300 nodes has to be worked out from slopes that a command of the repository measures. Ruled out: reading the figures in the shell, which is too slow for a hundred nodes; timing from inside a node, which does not see its own cost.

--- a/cmd/vtbench/watch.go
+++ b/cmd/vtbench/watch.go
@@ -35,6 +35,7 @@
 	f.StringVar(&c.nodes, "nodes", "", "admin addresses of the nodes, `IP:port,...`")
 	f.Uint64Var(&c.watcher.Seed, "seed", 1, "seed of the schedule")
 	f.DurationVar(&c.watcher.Duration, "duration", 0, "length of the round")
+	f.Float64Var(&c.watcher.Capacity, "capacity", 1, "operations per second that all slots bear")
 	f.StringVar(&c.out, "out", "", "`file` for what the round left, in JSON")
 }
 
@@ -46,13 +47,9 @@
 	c.watcher.Scenario = bench.Scenario(c.scenario)
 	c.watcher.Nodes = strings.Split(c.nodes, ",")
 	c.watcher.Token = os.Getenv("VT_TOKEN")
-	for _, text := range strings.Split(c.targets, ",") {
-		parts := strings.Split(text, "/")
-		if len(parts) != 3 {
-			return errors.Errorf("target %q is not IP:port/service/data centre", text)
-		}
-		place := bench.Place{Address: parts[0], Service: parts[1], DataCentre: parts[2]}
-		c.watcher.Places = append(c.watcher.Places, place)
+	var err error
+	if c.watcher.Places, err = parsePlaces(c.targets); err != nil {
+		return err
 	}
 	watched, err := c.watcher.Run(ctx)
 	if err != nil {
@@ -64,3 +61,16 @@
 	}
 	return errors.Wrap(os.WriteFile(c.out, data, 0o644), "write what the round left")
 }
+
+// parsePlaces reads targets as "IP:port/service/data centre,...".
+func parsePlaces(list string) ([]bench.Place, error) {
+	var places []bench.Place
+	for _, text := range strings.Split(list, ",") {
+		parts := strings.Split(text, "/")
+		if len(parts) != 3 {
+			return nil, errors.Errorf("target %q is not IP:port/service/data centre", text)
+		}
+		places = append(places, bench.Place{Address: parts[0], Service: parts[1], DataCentre: parts[2]})
+	}
+	return places, nil
+}
--- /dev/null
+++ b/internal/capacity/snapshot.go
@@ -0,0 +1,53 @@
+package capacity
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// Node is what one node has used since its process started.
+type Node struct {
+	// Name is the node's name.
+	Name string `json:"name"`
+	// CPU is the processor time, user and system, in seconds.
+	CPU float64 `json:"cpu_s"`
+	// Resident is the memory that the process holds now, in bytes.
+	Resident float64 `json:"rss_bytes"`
+	// Metrics are the node's metrics by name.
+	Metrics map[string]float64 `json:"metrics"`
+}
+
+// Snapshot is a fleet at one moment of a phase.
+type Snapshot struct {
+	// Size is the number of nodes of the fleet.
+	Size int `json:"size"`
+	// Phase names what the fleet goes through.
+	Phase string `json:"phase"`
+	// At is the time of the snapshot, in Unix seconds.
+	At float64 `json:"at"`
+	// Nodes are the nodes, in the same order in each snapshot of a fleet.
+	Nodes []Node `json:"nodes"`
+	// Platform are the platform's counters by name.
+	Platform map[string]float64 `json:"platform"`
+	// Values are figures that the script measured itself, by name.
+	Values map[string]float64 `json:"values,omitempty"`
+}
+
+// Read reads snapshots, one JSON document after the other.
+func Read(r io.Reader) ([]Snapshot, error) {
+	var out []Snapshot
+	decoder := json.NewDecoder(r)
+	for {
+		var s Snapshot
+		err := decoder.Decode(&s)
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "decode snapshot %d", len(out)+1)
+		}
+		out = append(out, s)
+	}
+}
