--- a/process/ownership/property_test.go
+++ b/process/ownership/property_test.go
@@ -90,7 +90,7 @@
 					}
 				}
 			}
-			t.Logf("%d histories: run twice in %d, other promises broken in %d", count*len(allScenes()), twice, other)
+			t.Logf("clocks %d times the skew apart, %d histories: run twice in %d, other promises broken in %d", factor, count*len(allScenes()), twice, other)
 			if factor == 1 && twice+other > 0 {
 				t.Error("a promise is broken within the setting")
 			}
