Test that not-run is never said of a request that a target began

Cause: two mechanisms of promises could be taken out unseen: that the refusal of a later attempt doesn't make an earlier one not-run, and that a hop takes only the answer with its own request ID. Found by taking out five mechanisms of the request's way in turn; the other three were seen.

Change: specs of both. Each fails with its mechanism taken out. No fault of the code was found.

--- /dev/null
+++ b/node/settled_test.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"verbenatrestle/request"
+	"verbenatrestle/request/balance"
+)
+
+var _ = Describe("the end of several attempts", func() {
+	It("is not-run only if no attempt may have been run", func() {
+		refused := func() result {
+			return failed(balance.Refused, newFailure(http.StatusServiceUnavailable, request.NotRun, "admit", "n", "full", nil))
+		}
+		broken := failed(balance.Failed, newFailure(http.StatusBadGateway, request.Unknown, stepTarget, "n", "broke", nil))
+		var all settled
+		Expect(all.add(refused()).failure.Outcome).To(Equal(request.NotRun))
+		Expect(all.add(refused()).failure.Outcome).To(Equal(request.NotRun))
+		Expect(all.add(broken).failure.Outcome).To(Equal(request.Unknown))
+		Expect(all.add(refused()).failure.Outcome).To(Equal(request.Unknown))
+	})
+
+	It("is never not-run to the caller of what a target began", func() {
+		for range 20 {
+			var began atomic.Bool
+			p := newPath(func(w http.ResponseWriter, r *http.Request) {
+				began.Store(true)
+				breakOff(w, r)
+			}, sheds, sheds)
+			_, header, _ := p.get("/s/x")
+			if began.Load() {
+				Expect(header.Get(request.HeaderOutcome)).To(Equal(string(request.Unknown)))
+			}
+		}
+	})
+})
+
+var _ = Describe("a hop", func() {
+	It("takes no answer to another request", func() {
+		server := httptest.NewServer(http.HandlerFunc(otherAnswer))
+		DeferCleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		hops := newHopClient(HopHTTP1, testPeerKey, func(string) (string, bool) { return address, true })
+		res := hops.send(context.Background(), "n", request.HopGuard, newTestOrder(newPath(echo)))
+		Expect(res.answer).To(BeNil())
+		Expect(res.failure.Outcome).To(Equal(request.Unknown))
+	})
+})
