Let cold targets take over when the warm ones of a service hang

Where the only warm target hangs beside cold ones, the thinning of the cold ones left it alone among the candidates, and alone it is not slow by the mean that it makes itself.

Ruled out: the age of own attempts, which is counted (TestHangingAttemptsShow).

Change: cold endpoints are thinned only beside a warm one that is not slow among all whose latency is known.

With the condition taken out TestHangingWarmEndpointAmongColdOnes fails.

--- a/request/balance/scored.go
+++ b/request/balance/scored.go
@@ -90,8 +90,9 @@
 }
 
 // thinCold returns the indices of the warm candidates, and each cold one with
-// a probability of its share of what all candidates bear. If that leaves
-// nothing, it returns all.
+// a probability of its share of what all candidates bear. If all warm ones are
+// slow, as when they hang, or there are none, it returns all: a warm one that
+// is left alone would have nothing to be slow against.
 func (c *Choice) thinCold() []int {
 	sum := 0.0
 	for i := range c.Candidates {
@@ -104,7 +105,8 @@
 			kept = append(kept, i)
 		}
 	}
-	if len(kept) == 0 {
+	if !c.soundWarm() {
+		kept = kept[:0]
 		for i := range c.Candidates {
 			kept = append(kept, i)
 		}
@@ -113,6 +115,25 @@
 	return kept
 }
 
+// soundWarm reports whether any warm candidate is not slow among all whose
+// latency is known.
+func (c *Choice) soundWarm() bool {
+	sum, known := 0.0, 0
+	for i := range c.Candidates {
+		if latency := c.Candidates[i].Latency; latency > 0 {
+			sum += 1 / max(latency, leastLatency).Seconds()
+			known++
+		}
+	}
+	slow := slowBound(sum, known)
+	for i := range c.Candidates {
+		if candidate := &c.Candidates[i]; !candidate.Cold && candidate.Latency <= slow {
+			return true
+		}
+	}
+	return false
+}
+
 // coldTurn returns the cold candidate that thinCold left among warm ones. It
 // is this one's turn: compared by score, an idle cold target might never get
 // the work that warms it.
@@ -178,7 +199,16 @@
 	for _, i := range considered {
 		sum += 1 / max(c.Candidates[i].Latency, leastLatency).Seconds()
 	}
-	mean := float64(len(considered)) / sum * float64(time.Second)
+	return slowBound(sum, len(considered))
+}
+
+// slowBound returns the latency above which a candidate is slow, from the sum
+// of the inverse latencies, per second, of a number of candidates.
+func slowBound(sum float64, number int) time.Duration {
+	if number == 0 {
+		return slowAllowance
+	}
+	mean := float64(number) / sum * float64(time.Second)
 	return slowFactor*time.Duration(mean) + slowAllowance
 }
 
