Remove the member objects of nodes that are gone for good

Cause: a node removes its object on a planned stop only. Objects of VMs that failed and came back under other names would stay, be listed by every starting node, and be taken for alive again with each list. Ruled out: expiry by heartbeat at the platform (its calls would grow with the fleet), and removal by every node that sees the death. Change: the next living node by name removes the object after 90 minutes, unless the node wrote a newer incarnation since. Nothing timed measured.

--- a/node/node.go
+++ b/node/node.go
@@ -147,6 +147,7 @@
 		n.config.run,
 		n.awaitKnown,
 		n.directory.runWriter,
+		(&reaper{self: n.settings.Name, client: n.client, members: n.table.Members, logger: n.logger}).run,
 		func(ctx context.Context) { n.directory.runReader(ctx, func() { n.listed.Store(true) }) },
 	}
 }
--- /dev/null
+++ b/node/reaper.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"verbenatrestle/process/membership"
+	"verbenatrestle/process/platform"
+)
+
+const (
+	// reapAfter is how long a member must have been dead before its object at
+	// the platform is removed. Regions that lost each other for an hour come
+	// back before.
+	reapAfter = 90 * time.Minute
+	// reapPause is the mean time between two looks for such members.
+	reapPause = time.Minute
+)
+
+// memberObjects is what the reaper needs of the platform's client.
+type memberObjects interface {
+	Get(ctx context.Context, key string) (platform.Object, error)
+	Delete(ctx context.Context, key string, ifVersion uint64) error
+}
+
+// reaper removes the member objects of nodes that are gone for good. For each
+// dead member one node feels responsible: the next living one by name.
+type reaper struct {
+	self    string
+	client  memberObjects
+	members func() []membership.Member
+	logger  log.Logger
+	// since is when each dead member was first seen so.
+	since map[string]time.Time
+}
+
+// run looks for members to remove until the context ends.
+func (r *reaper) run(ctx context.Context) {
+	for pause(ctx, reapPause/2+rand.N(reapPause)) {
+		for _, m := range r.due(r.members(), time.Now()) {
+			if err := r.remove(ctx, m); err != nil {
+				_ = level.Debug(r.logger).Log("msg", "remove member object", "peer", m.Node, "err", err)
+			}
+		}
+	}
+}
+
+// due returns the members, in order of their names, whose objects this node is
+// to remove.
+func (r *reaper) due(members []membership.Member, now time.Time) []membership.Member {
+	dead := make(map[string]time.Time)
+	var out []membership.Member
+	for _, m := range members {
+		if m.Status != membership.Dead {
+			continue
+		}
+		first, known := r.since[m.Node]
+		if !known {
+			first = now
+		}
+		dead[m.Node] = first
+		if now.Sub(first) >= reapAfter && heir(members, m.Node) == r.self {
+			out = append(out, m)
+		}
+	}
+	r.since = dead
+	return out
+}
+
+// heir returns the next present member by name after node, in a circle.
+func heir(members []membership.Member, node string) string {
+	at, _ := slices.BinarySearchFunc(members, node, func(m membership.Member, name string) int {
+		return strings.Compare(m.Node, name)
+	})
+	for i := range members {
+		m := members[(at+1+i)%len(members)]
+		if m.Status.Present() {
+			return m.Node
+		}
+	}
+	return ""
+}
+
+// remove deletes the object of a dead member, unless the node has come back
+// under it since.
+func (r *reaper) remove(ctx context.Context, m membership.Member) error {
+	key := memberPrefix + m.Node
+	object, err := r.client.Get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var written membership.Member
+	if err := json.Unmarshal(object.Value, &written); err != nil {
+		return errors.Wrapf(err, "decode object of member %s", m.Node)
+	}
+	if written.Incarnation > m.Incarnation {
+		return nil
+	}
+	return r.client.Delete(ctx, key, object.Version)
+}
