Count an owner without a lease as failed

Cause: any answer over the hop counted as "the owner answered", a refusal for want of a lease too, so an owner that lost its lease for good, cut off from its witnesses but not from the ingress, was never replaced. Ruled out: counting every refusal, since a full table or a key from the future says nothing about the owner. Change: a refusal with the reason no-lease counts like a hop that failed. Taken out and seen to fail: "an owner counts as failed to the ingress without a lease". Nothing timed measured.

--- a/node/owner_test.go
+++ b/node/owner_test.go
@@ -25,7 +25,11 @@
 }
 
 func (c *oneClaim) Claim(ownership.Request) ownership.Decision {
-	return ownership.Decision{Verdict: c.verdict, Answer: c.answer, Reason: ownership.ReasonNoLease, RetryAfter: 70 * time.Millisecond}
+	d := ownership.Decision{Verdict: c.verdict, Answer: c.answer, RetryAfter: 70 * time.Millisecond}
+	if c.verdict == ownership.Refused {
+		d.Reason = ownership.ReasonNoLease
+	}
+	return d
 }
 
 func (c *oneClaim) Complete(_ ownership.Ticket, a *claim.Answer) {
@@ -109,6 +113,21 @@
 		Expect(claims.ends).To(Equal([]string{"lost"}))
 	})
 
+	DescribeTable("counts as failed to the ingress",
+		func(verdict ownership.Verdict, want string) {
+			claims.verdict = verdict
+			res := send("first")
+			said := "answered"
+			if ownerFailed(&res) {
+				said = "failed"
+			}
+			Expect(said).To(Equal(want))
+		},
+		Entry("without a lease", ownership.Refused, "failed"),
+		Entry("not when it points to another", ownership.NotOwner, "answered"),
+		Entry("not when it runs the request", ownership.Run, "answered"),
+	)
+
 	DescribeTable("answers what it does not run",
 		func(verdict ownership.Verdict, status int, outcome request.Outcome) {
 			claims.verdict = verdict
--- a/node/ownerrouter.go
+++ b/node/ownerrouter.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"verbenatrestle/process/ownership"
 	"verbenatrestle/process/ownership/fence"
 	"verbenatrestle/request"
 	"verbenatrestle/request/balance"
@@ -113,10 +114,20 @@
 		return r.local.serve(ctx, &copied)
 	}
 	res := r.hops.send(ctx, node, request.HopOwner, o)
-	if res.kind == balance.Failed && res.answer == nil {
+	if ownerFailed(&res) {
 		r.failed(service, o.key)
 	} else {
 		r.answered(service, o.key)
 	}
 	return res
 }
+
+// ownerFailed reports whether the owner was not reached, or is no owner that
+// can run anything, having lost its lease. Another node then takes over.
+func ownerFailed(res *result) bool {
+	if res.failure == nil {
+		return false
+	}
+	unleased := res.failure.Step == stepClaim && res.failure.Detail == string(ownership.ReasonNoLease)
+	return unleased || res.kind == balance.Failed
+}
