Measure overload at twice the service time

Change: service times double in overload, so 4875 requests a second are driven. A control sets the service time of a stand-in target; vtbench tune sends it. The share of capacity is that of the round.

Nothing final measured: the machine was busy with other work.

--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -59,6 +59,7 @@
 	SlowFactor *float64 `json:"slow_factor,omitempty"`
 	SlowForMs  *int     `json:"slow_for_ms,omitempty"`
 	FailFast   *bool    `json:"fail_fast,omitempty"`
+	ServiceMs  *float64 `json:"service_ms,omitempty"`
 	ResetStats bool     `json:"reset_stats,omitempty"`
 }
 
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -11,8 +11,6 @@
 
 // Fleet is what the tables need to know of the fleet.
 type Fleet struct {
-	// Capacity is the operations per second that all slots bear.
-	Capacity float64
 	// Slots is how many requests one target runs at once.
 	Slots int
 	// MeasuringBudget is the bytes a second that a node may spend on measuring.
@@ -28,7 +26,7 @@
 		}
 	}
 	for _, scenario := range Scenarios {
-		printRatio(out, summaries, scenario, fleet)
+		printRatio(out, summaries, scenario)
 	}
 }
 
@@ -49,7 +47,7 @@
 		"peak/can", "peakcold", "over", "measuring B/s", "retries", "hedges", "busy")
 	for _, s := range rows {
 		fmt.Fprintf(out, "%-14s %8.2f %8.2f %8.2f %9.0f %6.3f %7.2f%% %8.3f%% %9.2f %9s %8d %4d %13s %6.2f%% %6.2f%% %4.0f%%\n",
-			s.Policy, s.P50, s.P99, s.P999, s.Goodput, s.Goodput/fleet.Capacity, 100*s.Refused, 100*s.Unanswered,
+			s.Policy, s.P50, s.P99, s.P999, s.Goodput, s.OfCapacity, 100*s.Refused, 100*s.Unanswered,
 			s.RefusalP99, fmt.Sprintf("%d/%d", s.Peak, fleet.Slots), s.PeakCold, s.Overruns,
 			fmt.Sprintf("%.0f/%.0f", s.MeasuringBytes, fleet.MeasuringBudget),
 			100*s.Retries, 100*s.Hedges, 100*s.Busy)
@@ -57,7 +55,7 @@
 }
 
 // printRatio writes the line that compares ours with others, if it was run.
-func printRatio(out io.Writer, summaries []Summary, scenario Scenario, fleet Fleet) {
+func printRatio(out io.Writer, summaries []Summary, scenario Scenario) {
 	i := index(summaries, scenario, Ours)
 	if i < 0 {
 		return
@@ -71,7 +69,7 @@
 	}
 	if scenario == Overload {
 		parts = append(parts, fmt.Sprintf("goodput/capacity=%.3f refusal_p99_ms=%.2f",
-			ours.Goodput/fleet.Capacity, ours.RefusalP99))
+			ours.OfCapacity, ours.RefusalP99))
 	}
 	parts = append(parts, fmt.Sprintf("overruns=%d", ours.Overruns))
 	fmt.Fprintln(out, strings.Join(parts, " "))
--- a/internal/bench/table_test.go
+++ b/internal/bench/table_test.go
@@ -18,6 +18,7 @@
 	for _, answered := range []int{10, 90, 110, 5} {
 		r.Load.Seconds = append(r.Load.Seconds, load.Second{Count: load.Count{Answered: answered}})
 	}
+	r.Watched.Capacity = 200
 	r.Watched.Targets = []target.Stats{{PeakInFlight: 7, Overruns: overruns}, {PeakInFlight: 9}}
 	return r
 }
@@ -25,7 +26,7 @@
 func TestRatioLine(t *testing.T) {
 	rounds := []Round{round(Ours, 10, 1), round("roundrobin", 40, 0), round(Ours, 30, 2), round("oracle", 16, 0)}
 	var out bytes.Buffer
-	Print(&out, Summarise(rounds), []string{"roundrobin", Ours, "oracle"}, Fleet{Capacity: 200, Slots: 9})
+	Print(&out, Summarise(rounds), []string{"roundrobin", Ours, "oracle"}, Fleet{Slots: 9})
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	want := "ratio overload p99 ours/roundrobin=0.50 ours/oracle=1.25 goodput/capacity=0.500 refusal_p99_ms=4.00 overruns=3"
 	if got := lines[len(lines)-1]; got != want {
--- a/internal/bench/watch.go
+++ b/internal/bench/watch.go
@@ -37,6 +37,8 @@
 	Nodes []string
 	// Token is the bearer token of the administration API.
 	Token string
+	// Capacity is the operations per second that all slots bear.
+	Capacity float64
 }
 
 // Watched is what a round left in the counters.
@@ -48,6 +50,8 @@
 	Busy float64 `json:"busy"`
 	// Seconds is the time over which the counters grew.
 	Seconds float64 `json:"seconds"`
+	// Capacity is the operations per second that all slots bear.
+	Capacity float64 `json:"capacity"`
 }
 
 // Run watches one round, which begins now.
@@ -73,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	watched := &Watched{Busy: (busyAfter - busyBefore) / max(totalAfter-totalBefore, 1)}
+	watched := &Watched{Capacity: w.Capacity, Busy: (busyAfter - busyBefore) / max(totalAfter-totalBefore, 1)}
 	sleepUntil(ctx, began.Add(w.Duration+afterRound))
 	err = w.read(ctx, client, watched, before)
 	watched.Seconds = time.Since(began).Seconds()
@@ -114,8 +118,19 @@
 }
 
 func (w *Watcher) tellAll(ctx context.Context, client *http.Client, c control) error {
+	return tellAll(ctx, client, w.Places, c)
+}
+
+// SetServiceTime sets the mean service time of targets.
+func SetServiceTime(ctx context.Context, places []Place, mean time.Duration) error {
+	client := &http.Client{Timeout: callTimeout}
+	defer client.CloseIdleConnections()
+	return tellAll(ctx, client, places, control{ServiceMs: new(mean.Seconds() * 1e3)})
+}
+
+func tellAll(ctx context.Context, client *http.Client, places []Place, c control) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, p := range w.Places {
+	for _, p := range places {
 		group.Go(func() error { return tell(ctx, client, p.Address, c) })
 	}
 	return group.Wait()
--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -30,6 +30,8 @@
 	Drain *bool `json:"drain,omitempty"`
 	// Crash makes the target crash.
 	Crash bool `json:"crash,omitempty"`
+	// ServiceMs sets the mean service time, in milliseconds.
+	ServiceMs *float64 `json:"service_ms,omitempty"`
 	// ResetStats starts the counters and peaks of /stats anew.
 	ResetStats bool `json:"reset_stats,omitempty"`
 }
@@ -70,6 +72,9 @@
 	if control.Drain != nil {
 		t.draining = *control.Drain
 	}
+	if control.ServiceMs != nil {
+		t.options.ServiceTime = time.Duration(*control.ServiceMs * float64(time.Millisecond))
+	}
 	if control.ResetStats {
 		t.stats = Stats{PeakInFlight: t.capacity.inFlight}
 	}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -57,16 +57,24 @@
 }
 RATE_SHARE=${RATE:-}
 
-# service_ms ORG prints the mean service time in milliseconds: such that this
+# service_ms SCENARIO prints the mean service time in milliseconds: such that one
 # machine bears the load of all slots.
 service_ms() {
-  [[ -z ${SERVICE_MS:-} ]] || { echo "$SERVICE_MS"; return; }
-  case $1 in
-    kodumala) echo 40 ;;
-    flavour-trials) echo 20 ;;
+  local base=${SERVICE_MS:-}
+  case $ORG in
+    kodumala) base=${base:-40} ;;
+    flavour-trials) base=${base:-20} ;;
   esac
+  [[ $1 == overload ]] && base=$((2 * base))
+  echo "$base"
 }
 
+# capacity SCENARIO prints the operations per second that all slots bear.
+capacity() { awk "BEGIN { print ${#NODES[@]} * $SLOTS * 1000 / $(service_ms "$1") }"; }
+
+# tune SCENARIO sets the service time of the fleet in use.
+tune() { "$BIN/vtbench" tune -targets "$(places)" -service-time "$(service_ms "$1")ms"; }
+
 # settings POLICY prints the settings of a policy's nodes.
 settings() {
   local part
@@ -103,7 +111,7 @@
   for node in "${NODES[@]}"; do
     seed=$((seed + 1))
     start_target "$node" -seed "$((SEED + seed))" -node "$node" "${oracle[@]}" \
-      -service-time "$(service_ms "$ORG")ms" -start-warm
+      -service-time "$(service_ms steady)ms" -start-warm
   done
 }
 
@@ -138,25 +146,25 @@
   (IFS=,; echo "${list[*]}")
 }
 
-# drive SHARE SECONDS SEED [FLAGS] drives load at the fleet in use.
+# drive SHARE CAPACITY SECONDS SEED [FLAGS] drives load at the fleet in use.
 drive() {
-  local rate
-  rate=$(awk "BEGIN { print $1 * $CAPACITY }")
-  shift
-  local seconds=$1 seed=$2
-  shift 2
+  local rate seconds=$3 seed=$4
+  rate=$(awk "BEGIN { print $1 * $2 }")
+  shift 4
   "$BIN/vtstandin" load -ingress "$(addresses $NODE_CALLERS)" -mix-file "$ROOT/$ORG/mix.yaml" -rate "$rate" \
     -duration "${seconds}s" -seed "$seed" -max-sends 1 -duplicates -1 "$@" >>"$OUT/load.log" 2>&1
 }
 
 # round SCENARIO POLICY ROUND runs one round at the fleet in use.
 round() {
-  local file=$ROOT/$ORG/rounds/$1.$2.$3 watch seed=$((SEED + $3))
-  drive "$WARM_SHARE" "$WARM_SECONDS" "$seed"
+  local file=$ROOT/$ORG/rounds/$1.$2.$3 watch seed=$((SEED + $3)) most
+  most=$(capacity "$1")
+  tune "$1"
+  drive "$WARM_SHARE" "$most" "$WARM_SECONDS" "$seed"
   VT_TOKEN=$ADMIN_TOKEN "$BIN/vtbench" watch -scenario "$1" -seed "$seed" -duration "${ROUND_SECONDS}s" \
-    -targets "$(places)" -nodes "$(addresses $NODE_ADMIN)" -out "$file.watch.json" &
+    -capacity "$most" -targets "$(places)" -nodes "$(addresses $NODE_ADMIN)" -out "$file.watch.json" &
   watch=$!
-  drive "$(share "$1")" "$ROUND_SECONDS" "$seed" -report "$file.load.json" || true
+  drive "$(share "$1")" "$most" "$ROUND_SECONDS" "$seed" -report "$file.load.json" || true
   wait "$watch"
 }
 
@@ -166,18 +174,17 @@
   ORG=$1
   mkdir -p "$ROOT/$ORG/rounds"
   for i in "${!policies[@]}"; do start_fleet "$i" "${policies[i]}"; done
-  CAPACITY=$(awk "BEGIN { print ${#NODES[@]} * $SLOTS * 1000 / $(service_ms "$ORG") }")
   write_mix >"$ROOT/$ORG/mix.yaml"
   for i in "${!policies[@]}"; do
     use_fleet "$i"
     wait_ready
     ctl apply "examples/$ORG/"*.yaml >>"$OUT/ctl.log" 2>&1
     wait_ready
-    drive "$WARM_SHARE" "$START_SECONDS" "$SEED"
+    drive "$WARM_SHARE" "$(capacity steady)" "$START_SECONDS" "$SEED"
   done
   echo
-  echo "== $ORG: ${#NODES[@]} targets of $SLOTS slots, mean service time $(service_ms "$ORG") ms," \
-    "capacity $CAPACITY/s, seed $SEED, $ROUNDS rounds of ${ROUND_SECONDS}s"
+  echo "== $ORG: ${#NODES[@]} targets of $SLOTS slots, mean service time $(service_ms steady) ms" \
+    "($(service_ms overload) ms in overload), seed $SEED, $ROUNDS rounds of ${ROUND_SECONDS}s"
   for scenario in $SCENARIOS; do
     for ((number = 1; number <= ROUNDS; number++)); do
       for i in "${!policies[@]}"; do
@@ -187,7 +194,7 @@
     done
   done
   "$BIN/vtbench" table -dir "$ROOT/$ORG/rounds" -policies "$(IFS=,; echo "${policies[*]}")" \
-    -capacity "$CAPACITY" -slots "$SLOTS" -measuring-budget "$MEASURING_BUDGET"
+    -slots "$SLOTS" -measuring-budget "$MEASURING_BUDGET"
   stop_all
 }
 
