Repeat the list of members at the start only in small fleets

Cause: a starting node lists all members four times within some ten seconds. Ruled out: no repeats at all, since nodes of a small fleet that start together list before the others have written; a list by pages, which the platform lacks. Change: the repeats end once a node knows 64 others; gossip brings the rest, and the list every ten minutes stays. Conclusion: a node of a large fleet lists once at its start.

--- a/node/members.go
+++ b/node/members.go
@@ -21,6 +21,10 @@
 	// earlyLists is how many times a node lists the members soon after its
 	// start, when others may be starting as well.
 	earlyLists = 3
+	// manyMembers is how many others a node must know to do without those
+	// lists: gossip with so many finds the rest, and a list of a large fleet is
+	// long.
+	manyMembers = 64
 	// earlyListPause is the mean time between those lists.
 	earlyListPause = 3 * time.Second
 	// listPause is the mean time between later lists, which heal a fleet that
@@ -135,18 +139,32 @@
 		if n == 0 {
 			first()
 		}
-		mean := listPause
-		if n < earlyLists || d.alone() {
-			mean = earlyListPause
-		}
+		mean := listPauseAfter(n, d.present())
 		n++
 		pause(ctx, mean/2+rand.N(mean))
 	}
 }
 
-// alone reports whether the node knows no other that is present.
-func (d *directory) alone() bool {
-	return len(d.table.Neighbours()) == 0
+// listPauseAfter returns the mean pause after n+1 lists in a fleet of which
+// this node knows some members.
+func listPauseAfter(n, present int) time.Duration {
+	early := n < earlyLists && present < manyMembers
+	if early || present == 0 {
+		return earlyListPause
+	}
+	return listPause
+}
+
+// present returns how many others the node holds for present.
+func (d *directory) present() int {
+	self := d.table.Self().Node
+	count := 0
+	for _, m := range d.table.Members() {
+		if m.Status.Present() && m.Node != self {
+			count++
+		}
+	}
+	return count
 }
 
 // list reads all member objects and tells membership.
