Take a setting of zero as it is, and a node known to peers as ready

Cause: defaults were put in after decoding, wherever a field was zero: a share of 0 became the default, so retries and hedges could not be turned off, and a term of 0 was accepted. And a node restarted while the platform was out served callers but said "not ready" until it could list the members there, although its peers had linked to it. Ruled out: pointers for all settings; decoding over the defaults does the same. Change: the file is decoded over the defaults; a retry share of zero has neither floor nor burst; a node is ready once platform or peers told it the fleet. Before: TestZeroIsNotTakenForTheDefault and the case "no term" can't pass with defaults put in afterwards; they pass now. Nothing timed measured.

--- a/node/budgets.go
+++ b/node/budgets.go
@@ -26,6 +26,9 @@
 func newBudgets(s Budgets) *budgets {
 	retry := request.DefaultRetryPolicy
 	retry.Share = s.RetryShare
+	if s.RetryShare == 0 {
+		retry = request.RetryPolicy{}
+	}
 	hedge := request.DefaultHedgePolicy
 	hedge.Share = s.HedgeShare
 	return &budgets{retry: retry, hedge: hedge, services: make(map[version.ServiceID]*serviceBudget)}
--- /dev/null
+++ b/node/budgets_test.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"testing"
+	"time"
+)
+
+func TestShareOfZeroTurnsOff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	off := newBudgets(Budgets{}).of("org/s", now)
+	on := newBudgets(Budgets{RetryShare: 1, HedgeShare: 1}).of("org/s", now)
+	for range 100 {
+		off.hedge.Request()
+		on.hedge.Request()
+		off.retry.Success()
+		on.retry.Success()
+	}
+	later := now.Add(time.Hour)
+	if off.retry.AllowRefused(later) || off.retry.AllowUnknown(later) || off.hedge.Allow(later) {
+		t.Error("a share of zero allows a further attempt")
+	}
+	if !on.retry.AllowUnknown(later) || !on.hedge.Allow(later) {
+		t.Error("a share of one allows no further attempt")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -176,10 +176,11 @@
 	n.target.publish()
 }
 
-// ready reports whether the node can serve: it knows the fleet and a
-// configuration.
+// ready reports whether the node can serve: it knows the fleet, from the
+// platform or from a peer that has linked to it, and the configuration.
 func (n *Node) ready() bool {
-	return n.listed.Load() && n.known(time.Now()) && !n.leaving.Load()
+	fleet := n.listed.Load() || n.config.peerHeard.Load()
+	return fleet && n.known(time.Now()) && !n.leaving.Load()
 }
 
 // stop is the planned stop: no request in flight is cut off.
--- a/node/settings.go
+++ b/node/settings.go
@@ -106,11 +106,11 @@
 	// ProbeBytes is how many bytes a second load probes and the load on answers
 	// may take. Default 4096.
 	ProbeBytes float64 `yaml:"probe_bytes"`
-	// RetryShare is the share of successes that retries may add, 0 to 1.
-	// Default 0.1.
+	// RetryShare is the share of successes that retries may add, 0 to 1. Zero
+	// turns retries off. Default 0.1.
 	RetryShare float64 `yaml:"retry_share"`
-	// HedgeShare is the share of requests that may be hedged, 0 to 1.
-	// Default 0.05.
+	// HedgeShare is the share of requests that may be hedged, 0 to 1. Zero turns
+	// hedges off. Default 0.05.
 	HedgeShare float64 `yaml:"hedge_share"`
 }
 
@@ -176,12 +176,11 @@
 
 // ParseSettings is LoadSettings on data that has already been read.
 func ParseSettings(data []byte) (Settings, error) {
-	var s Settings
+	s := defaultSettings()
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.CustomUnmarshaler(parseDuration))
 	if err := decoder.Decode(&s); err != nil {
 		return Settings{}, errors.Wrap(err, "parse")
 	}
-	s.complete()
 	return s, s.check()
 }
 
@@ -196,34 +195,34 @@
 	return nil
 }
 
-// complete puts the defaults in place of what is not set.
-func (s *Settings) complete() {
-	setDefault(&s.Platform.Timeout, defaultPlatformTimeout)
-	setDefault(&s.Platform.WatchWait, defaultWatchWait)
-	setDefault(&s.Ownership.Term, defaultTerm)
-	setDefault(&s.Ownership.Skew, defaultSkew)
-	setDefault(&s.Ownership.Witnesses, defaultWitnesses)
-	setDefault(&s.Ownership.MaxClaims, defaultMaxClaims)
-	setDefault(&s.Ownership.MaxAnswerMemory, defaultMaxAnswerMemory)
-	setDefault(&s.Budgets.ProbeMessages, defaultProbeMessages)
-	setDefault(&s.Budgets.ProbeBytes, defaultProbeBytes)
-	setDefault(&s.Budgets.RetryShare, defaultRetryShare)
-	setDefault(&s.Budgets.HedgeShare, defaultHedgeShare)
-	setDefault(&s.Limits.MaxBodyBytes, defaultMaxBodyBytes)
-	setDefault(&s.Limits.MaxAnswerBytes, defaultMaxAnswerBytes)
-	setDefault(&s.Limits.MaxHeaderBytes, defaultMaxHeaderBytes)
-	setDefault(&s.Limits.MaxCallerInFlight, defaultMaxCallerInFlight)
-	setDefault(&s.Policy, defaultPolicy)
-	setDefault(&s.AdmissionLimit, defaultLimit)
-	setDefault(&s.HopProtocol, HopHTTP1)
-	setDefault(&s.GossipPeriod, defaultGossipPeriod)
-	setDefault(&s.DrainTimeout, defaultDrainTimeout)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+// defaultSettings returns what the settings are where the file says nothing.
+func defaultSettings() Settings {
+	return Settings{
+		Platform: Platform{Timeout: defaultPlatformTimeout, WatchWait: defaultWatchWait},
+		Ownership: Ownership{
+			Term:            defaultTerm,
+			Skew:            defaultSkew,
+			Witnesses:       defaultWitnesses,
+			MaxClaims:       defaultMaxClaims,
+			MaxAnswerMemory: defaultMaxAnswerMemory,
+		},
+		Budgets: Budgets{
+			ProbeMessages: defaultProbeMessages,
+			ProbeBytes:    defaultProbeBytes,
+			RetryShare:    defaultRetryShare,
+			HedgeShare:    defaultHedgeShare,
+		},
+		Limits: Limits{
+			MaxBodyBytes:      defaultMaxBodyBytes,
+			MaxAnswerBytes:    defaultMaxAnswerBytes,
+			MaxHeaderBytes:    defaultMaxHeaderBytes,
+			MaxCallerInFlight: defaultMaxCallerInFlight,
+		},
+		Policy:         defaultPolicy,
+		AdmissionLimit: defaultLimit,
+		HopProtocol:    HopHTTP1,
+		GossipPeriod:   defaultGossipPeriod,
+		DrainTimeout:   defaultDrainTimeout,
 	}
 }
 
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -31,6 +31,16 @@
 	}
 }
 
+func TestZeroIsNotTakenForTheDefault(t *testing.T) {
+	s, err := ParseSettings([]byte(goodSettings + "budgets: {retry_share: 0}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Budgets.RetryShare != 0 || s.Budgets.HedgeShare != defaultHedgeShare {
+		t.Fatalf("got the budgets %+v, want no retries and the default of hedges", s.Budgets)
+	}
+}
+
 func TestBadSettingsAreRefused(t *testing.T) {
 	cases := []struct {
 		name, old, new, want string
@@ -44,6 +54,7 @@
 		{"even witnesses", "region: kerala-south", "region: r\nownership: {witnesses: 4}", "ownership.witnesses"},
 		{"share above one", "region: kerala-south", "region: r\nbudgets: {retry_share: 1.5}", "budgets.retry_share"},
 		{"wrong type", "region: kerala-south", "region: r\ndrain_timeout: soon", "soon is not a duration"},
+		{"no term", "region: kerala-south", "region: r\nownership: {term: 0s}", "ownership.term"},
 		{"protocol", "region: kerala-south", "region: r\nhop_protocol: quic", "hop_protocol"},
 	}
 	for _, c := range cases {
