--- a/internal/capacity/doc.go
+++ b/internal/capacity/doc.go
@@ -8,7 +8,7 @@
 // squares lines, one over the number of nodes and one over its logarithm, and
 // with them a value at the target size.
 //
-// Phases are "idle" (no requests), "load" (a light load), "changes" (changes of
-// configuration), "lookups" and "filings" (requests at one ingress node, the
-// first of the list, which has no target).
+// Phases are "idle" and "idle-120-services" (no requests), "load" (a light
+// load), "lookups" and "filings" (requests at one ingress node, the first of the
+// list, which has no target), and any other name for changes of configuration.
 package capacity
--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -69,7 +69,7 @@
 
 func (f *figures) addSpan(s, idle span) {
 	switch phase := s.begin.Phase; phase {
-	case "idle", "load":
+	case "idle", "load", "idle-120-services":
 		f.addSteady(s)
 	case "lookups", "filings":
 		f.addRequests(s, idle)
@@ -96,7 +96,7 @@
 		put(role, "messages_per_s", mean(s.perNode(matching("messages", prefix)))/s.seconds())
 		put(role, "bytes_per_s", mean(s.perNode(matching("bytes", prefix)))/s.seconds())
 	}
-	put("node", "links", mean(values(s.end, func(n Node) float64 { return n.Metrics["vt_peerlink_links"] })))
+	put("node", "links", mean(values(s.end, links)))
 	for _, kind := range []string{"reads", "writes", "watches"} {
 		put("platform", kind+"_per_s", (s.end.Platform[kind]-s.begin.Platform[kind])/s.seconds())
 	}
@@ -116,6 +116,7 @@
 		f.add("configuration", phase+"_bytes_per_change", size, bytes/changes)
 		reads := s.end.Platform["reads"] - s.begin.Platform["reads"]
 		f.add("platform", phase+"_reads_per_change", size, reads/changes)
+		f.add("node", phase+"_links", size, mean(values(s.end, links)))
 	}
 	f.addValues(s, phase)
 }
@@ -153,6 +154,8 @@
 	}
 }
 
+func links(n Node) float64 { return n.Metrics["vt_peerlink_links"] }
+
 // wireBytes returns all bytes on peer links, in both directions.
 func wireBytes(n Node) float64 {
 	return n.Metrics["vt_peerlink_wire_bytes_in"] + n.Metrics["vt_peerlink_wire_bytes_out"]
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -8,14 +8,17 @@
 // TargetSize is the fleet that is planned for, in nodes.
 const TargetSize = 1300
 
-// budgets are the users' bounds at the target size, by role and figure.
+// budgets are the users' bounds at the target size, by role and figure. The
+// bound of processor time is for control, so it is held against idle fleets:
+// under load the time of the requests themselves comes on top.
 var budgets = []struct {
 	role, name, unit string
 	bound            float64
 }{
 	{"node", "idle_cpu_percent", "% of a core", 4.8},
-	{"node", "load_cpu_percent", "% of a core", 4.8},
+	{"node", "idle-120-services_cpu_percent", "% of a core", 4.8},
 	{"node", "idle_rss_mib", "MiB", 128},
+	{"node", "idle-120-services_rss_mib", "MiB", 128},
 	{"node", "load_rss_mib", "MiB", 128},
 	{"node", "idle_control_bytes_per_s", "B/s", 17_000},
 	{"node", "load_control_bytes_per_s", "B/s", 17_000},
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -2,7 +2,7 @@
 # capacity.sh: what a node and the platform bear against the size of the fleet,
 # on real processes. For each size it starts a fleet in several services, and
 # measures it idle, under a light load, and through changes of configuration,
-# with the 4 services of one organisation and with 120. At the smallest size it
+# with the 4 services of one organisation and with 120, then idle with these. At the smallest size it
 # also measures the processor time of requests by role. Prints one line a
 # figure and a table at the target size.
 #
@@ -188,6 +188,9 @@
   fi
   changes changes-4-services 1
   changes changes-120-services "$ORGANISATIONS"
+  snapshot idle-120-services
+  sleep "$IDLE_SECONDS"
+  snapshot idle-120-services
   stop_fleet
 }
 
