Have one wait that ends with its context

Cause: the same function stood five times, as pause, sleep and Sleep. Change: internal/wait. No behaviour changed but that a wait of zero ends at once everywhere; the tests of the packages pass. Nothing measured.

--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -9,6 +9,8 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+
+	"verbenatrestle/internal/wait"
 )
 
 // progressPeriod is the time between two lines of progress.
@@ -50,7 +52,7 @@
 	defer group.Wait()
 	for number := 0; ; number++ {
 		start = start.Add(time.Duration(rng.ExpFloat64() / config.Rate * float64(time.Second)))
-		if start.After(end) || !sleep(ctx, time.Until(start)) {
+		if start.After(end) || !wait.For(ctx, time.Until(start)) {
 			return nil
 		}
 		op, err := plan(config, number, rng)
@@ -90,7 +92,7 @@
 
 // report writes a line of progress each second.
 func report(ctx context.Context, config *Config, tally *tally) {
-	for second := 1; sleep(ctx, time.Until(tally.began.Add(time.Duration(second)*progressPeriod))); second++ {
+	for second := 1; wait.For(ctx, time.Until(tally.began.Add(time.Duration(second)*progressPeriod))); second++ {
 		fmt.Fprintln(config.Progress, tally.progress(second))
 	}
 }
--- a/internal/standin/load/sender.go
+++ b/internal/standin/load/sender.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"verbenatrestle/internal/standin/target"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/request"
 )
 
@@ -57,7 +58,7 @@
 	for i := range s.config.MaxSends {
 		ingresses := s.ingresses(op.class)
 		ingress := ingresses[(op.first+offset+i)%len(ingresses)]
-		sent, wait := s.send(ctx, op, ingress)
+		sent, delay := s.send(ctx, op, ingress)
 		if sent.final() {
 			return sent
 		}
@@ -66,7 +67,7 @@
 			break
 		}
 		s.tally.resent()
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, delay) {
 			break
 		}
 	}
@@ -196,14 +197,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return mean/2 + rand.N(mean)
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/target/announce.go
+++ b/internal/standin/target/announce.go
@@ -11,6 +11,8 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+
+	"verbenatrestle/internal/wait"
 )
 
 const (
@@ -57,7 +59,7 @@
 			level.Warn(t.options.Logger).Log("msg", "announce", "err", err)
 		}
 		failing = err != nil
-		if !pause(ctx, period) {
+		if !wait.For(ctx, period) {
 			return
 		}
 	}
@@ -100,7 +102,7 @@
 		if err == nil {
 			return nil
 		}
-		if !pause(ctx, drainRetry) {
+		if !wait.For(ctx, drainRetry) {
 			return err
 		}
 	}
--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"verbenatrestle/internal/wait"
 )
 
 // Control switches misbehaviour on and off. Fields that are absent from the
@@ -121,7 +123,7 @@
 	if t.options.Lag <= 0 {
 		return
 	}
-	for pause(ctx, t.options.Lag) {
+	for wait.For(ctx, t.options.Lag) {
 		t.mu.Lock()
 		t.reported = t.reportLocked(time.Now())
 		t.mu.Unlock()
--- a/internal/standin/target/truth.go
+++ b/internal/standin/target/truth.go
@@ -10,6 +10,7 @@
 
 	"verbenatrestle/connection/load"
 	"verbenatrestle/internal/standin/oracle"
+	"verbenatrestle/internal/wait"
 )
 
 // truthPeriod is the time between reports of a target that nothing reaches.
@@ -30,7 +31,7 @@
 	if t.oracle == nil {
 		return
 	}
-	for pause(ctx, truthPeriod) {
+	for wait.For(ctx, truthPeriod) {
 		t.tell()
 	}
 	if err := t.oracle.Close(); err != nil {
--- a/internal/standin/target/work.go
+++ b/internal/standin/target/work.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/request"
 )
 
@@ -162,7 +163,7 @@
 	t.mu.Lock()
 	remaining := time.Until(t.capacity.stalledUntil)
 	t.mu.Unlock()
-	return remaining <= 0 || pause(ctx, remaining)
+	return remaining <= 0 || wait.For(ctx, remaining)
 }
 
 // workContext ends when the caller has gone, the deadline has passed, or the
@@ -191,15 +192,3 @@
 	w.Header().Set("Retry-After", retryAfterSeconds)
 	http.Error(w, detail, status)
 }
-
-// pause waits and reports whether the context still lasts.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"verbenatrestle/connection/load"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/admission"
 	"verbenatrestle/version"
 )
@@ -128,7 +129,7 @@
 // waitIdle returns true once nothing runs at the target.
 func (t *localTarget) waitIdle(ctx context.Context) bool {
 	for !t.guard.admission.Idle() {
-		if !pause(ctx, drainPoll) {
+		if !wait.For(ctx, drainPoll) {
 			return t.guard.admission.Idle()
 		}
 	}
--- a/node/members.go
+++ b/node/members.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/membership"
 	"verbenatrestle/process/platform"
 )
@@ -86,7 +87,7 @@
 				break
 			}
 			_ = level.Debug(d.logger).Log("msg", "write member object", "err", err)
-			pause(ctx, backoff.Next(rng))
+			wait.For(ctx, backoff.Next(rng))
 		}
 	}
 }
@@ -132,7 +133,7 @@
 	for n := 0; ctx.Err() == nil; {
 		if err := d.list(ctx); err != nil {
 			_ = level.Debug(d.logger).Log("msg", "list members", "err", err)
-			pause(ctx, backoff.Next(d.rng))
+			wait.For(ctx, backoff.Next(d.rng))
 			continue
 		}
 		backoff.Reset()
@@ -141,7 +142,7 @@
 		}
 		mean := listPauseAfter(n, d.present())
 		n++
-		pause(ctx, mean/2+rand.N(mean))
+		wait.For(ctx, mean/2+rand.N(mean))
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"verbenatrestle/connection/peerlink"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/membership"
 	"verbenatrestle/process/ownership"
 	"verbenatrestle/process/platform"
@@ -168,7 +169,7 @@
 // awaitKnown opens the gate once the node knows what operators want.
 func (n *Node) awaitKnown(ctx context.Context) {
 	for !n.known(time.Now()) {
-		if !pause(ctx, knownPoll) {
+		if !wait.For(ctx, knownPoll) {
 			return
 		}
 	}
--- a/node/owner.go
+++ b/node/owner.go
@@ -41,7 +41,7 @@
 		case ownership.Replay:
 			return replay(d.Answer)
 		case ownership.InProgress:
-			if !wait(ctx, d.Wait) {
+			if !ended(ctx, d.Wait) {
 				return failed(balance.Failed, newFailure(http.StatusGatewayTimeout, request.Unknown, stepClaim, w.self,
 					"out of time", errors.New("the operation still runs for an earlier request")))
 			}
@@ -51,8 +51,8 @@
 	}
 }
 
-// wait returns true once done is closed, false when the context ends first.
-func wait(ctx context.Context, done <-chan struct{}) bool {
+// ended returns true once done is closed, false when the context ends first.
+func ended(ctx context.Context, done <-chan struct{}) bool {
 	select {
 	case <-done:
 		return true
--- a/node/ownerrouter.go
+++ b/node/ownerrouter.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/ownership"
 	"verbenatrestle/process/ownership/fence"
 	"verbenatrestle/request"
@@ -59,7 +60,7 @@
 		default:
 			return forCaller(res)
 		}
-		if !pause(ctx, ownerRetryDelay) {
+		if !wait.For(ctx, ownerRetryDelay) {
 			break
 		}
 		r.metrics.ownerRetries.Inc(1)
--- a/node/reaper.go
+++ b/node/reaper.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
 
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/membership"
 	"verbenatrestle/process/platform"
 )
@@ -44,7 +45,7 @@
 
 // run looks for members to remove until the context ends.
 func (r *reaper) run(ctx context.Context) {
-	for pause(ctx, reapPause/2+rand.N(reapPause)) {
+	for wait.For(ctx, reapPause/2+rand.N(reapPause)) {
 		for _, m := range r.due(r.members(), time.Now()) {
 			if err := r.remove(ctx, m); err != nil {
 				_ = level.Debug(r.logger).Log("msg", "remove member object", "peer", m.Node, "err", err)
--- a/node/servers.go
+++ b/node/servers.go
@@ -12,6 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	stdlog "log"
+
+	"verbenatrestle/internal/wait"
 )
 
 const (
@@ -91,10 +93,10 @@
 // then the hops that other nodes and the callers' requests need.
 func (s *servers) stop(ctx context.Context) error {
 	s.callers.SetKeepAlivesEnabled(false)
-	pause(ctx, lingerBeforeStop)
+	wait.For(ctx, lingerBeforeStop)
 	err := s.callers.Shutdown(ctx)
 	s.hop.SetKeepAlivesEnabled(false)
-	pause(ctx, lingerBeforeStop)
+	wait.For(ctx, lingerBeforeStop)
 	var group errgroup.Group
 	for _, server := range []*http.Server{s.hop, s.admin, s.announce} {
 		group.Go(func() error { return server.Shutdown(ctx) })
--- a/node/settled.go
+++ b/node/settled.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"context"
-	"time"
-
 	"verbenatrestle/request"
 )
 
@@ -31,15 +28,3 @@
 	s.last = res
 	return res
 }
-
-// pause waits for d. It returns false when the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/process/configstore/committer.go
+++ b/process/configstore/committer.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/platform"
 	"verbenatrestle/version"
 )
@@ -258,12 +259,6 @@
 
 // Sleep waits for the delay or the end of the context.
 func Sleep(ctx context.Context, delay time.Duration) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	wait.For(ctx, delay)
+	return ctx.Err()
 }
--- a/process/platform/watcher.go
+++ b/process/platform/watcher.go
@@ -8,6 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+
+	"verbenatrestle/internal/wait"
 )
 
 // Defaults of a Watcher.
@@ -80,7 +82,7 @@
 			return
 		}
 		delay := w.learn(update, err)
-		if !sleep(ctx, delay) {
+		if !wait.For(ctx, delay) {
 			return
 		}
 	}
@@ -164,18 +166,3 @@
 func jitter(mean time.Duration, rng *rand.Rand) time.Duration {
 	return mean*3/4 + time.Duration(rng.Int64N(int64(mean)/2+1))
 }
-
-// sleep waits and reports whether the context still lasts.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
