Drop the unused way to ask platform and peers, and test the one in use

Cause: configstore.Bootstrap stood beside the node's own way to ask platform and peers before it serves; nothing called it but tests. Change: Bootstrap and TestBootstrap are gone; its cases (stale platform with a fresher peer, either out, nothing anywhere, garbage) now test what the node runs, in TestStartingNodeAsksPlatformAndPeers, with four more. Taken out and seen to fail there: asking a peer as well, and comparing the version that a peer announces. Nothing timed measured.

--- a/process/configstore/doc.go
+++ b/process/configstore/doc.go
@@ -23,9 +23,9 @@
 // change is applied anew on top of the earlier. If both set the same thing
 // to different values, the later is refused and told what changed.
 //
-// A node that starts asks the platform and its peers, by Bootstrap, before it
-// serves.
+// A node that starts asks the platform and its peers before it serves, and
+// offers what both tell to its Store.
 //
-// The platform and the peers are interfaces, and time, delays and random
-// numbers are arguments.
+// The platform is an interface, and time, delays and random numbers are
+// arguments.
 package configstore
--- a/process/configstore/errors.go
+++ b/process/configstore/errors.go
@@ -6,10 +6,6 @@
 	"github.com/pkg/errors"
 )
 
-// ErrNoConfiguration means that neither the platform nor a peer has a
-// configuration yet.
-var ErrNoConfiguration = errors.New("no configuration yet")
-
 // errStale means that the platform showed an older document than the node
 // has seen.
 var errStale = errors.New("the platform showed a configuration older than the one known")
