Measure the loss and the return of a data centre over fleet sizes

Cause: what a lost data centre costs in writes and watches of ownership was an estimate. Ruled out: virtual time, which has no platform. Change: make capacity kills the nodes of a data centre at once, starts them anew, and measures both at the other nodes and at the platform.

--- a/cmd/vtbench/capacity.go
+++ b/cmd/vtbench/capacity.go
@@ -22,6 +22,7 @@
 	phase    string
 	values   string
 	out      string
+	size     int
 }
 
 func (*snapshotCommand) Name() string     { return "snapshot" }
@@ -37,6 +38,7 @@
 	f.StringVar(&c.platform, "platform", "", "`IP:port` of the stand-in platform")
 	f.StringVar(&c.phase, "phase", "", "`name` of the phase")
 	f.StringVar(&c.values, "values", "", "figures measured elsewhere, `name=number,...`")
+	f.IntVar(&c.size, "size", 0, "number of nodes of the fleet, if the places are not all of it")
 	f.StringVar(&c.out, "out", "", "`file` that the snapshot is appended to")
 }
 
@@ -64,6 +66,9 @@
 		return err
 	}
 	s.Phase = c.phase
+	if c.size > 0 {
+		s.Size = c.size
+	}
 	s.Values = values
 	return appendJSON(c.out, s)
 }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+func TestEventsAreToldInAll(t *testing.T) {
+	got, err := Figures([]Snapshot{twoNodes("lost", 0, 0, 0), twoNodes("lost", 10, 1, 1024)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]float64{"lost_seconds": 10, "lost_control_kib": 2, "lost_control_kib_most": 3, "lost_cpu_ms": 2000, "lost_reads": 10}
+	for _, f := range got {
+		if w, ok := want[f.Name]; ok && f.Points[0].Value != w {
+			t.Errorf("%s is %g, want %g", f.Name, f.Points[0].Value, w)
+		}
+		delete(want, f.Name)
+	}
+	if len(want) > 0 {
+		t.Errorf("missing figures: %v", want)
+	}
+}
+
 func TestFiguresWantEnds(t *testing.T) {
 	if _, err := Figures([]Snapshot{twoNodes("idle", 0, 0, 0)}); err == nil {
 		t.Error("a phase without an end was taken")
--- a/internal/capacity/doc.go
+++ b/internal/capacity/doc.go
@@ -10,5 +10,7 @@
 //
 // Phases are "idle" and "idle-120-services" (no requests), "load" (a light
 // load), "lookups" and "filings" (requests at one ingress node, the first of the
-// list, which has no target), and any other name for changes of configuration.
+// list, which has no target), "lost" and
+// "back" (a data centre, as the other nodes see it), and any other name for
+// changes of configuration.
 package capacity
--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -73,6 +73,8 @@
 		f.addSteady(s)
 	case "lookups", "filings":
 		f.addRequests(s, idle)
+	case "lost", "back":
+		f.addEvent(s)
 	default:
 		f.addChanges(s, idle)
 	}
@@ -104,6 +106,20 @@
 	f.addValues(s, phase)
 }
 
+// addEvent adds what an event cost in all: the nodes that went through it, and
+// the platform.
+func (f *figures) addEvent(s span) {
+	size, phase := s.begin.Size, s.begin.Phase
+	bytes := s.perNode(wireBytes)
+	f.add("node", phase+"_seconds", size, s.seconds())
+	f.add("node", phase+"_control_kib", size, mean(bytes)/1024)
+	f.add("node", phase+"_control_kib_most", size, most(bytes)/1024)
+	f.add("node", phase+"_cpu_ms", size, 1000*mean(s.perNode(func(n Node) float64 { return n.CPU })))
+	for _, kind := range []string{"reads", "writes", "watches", "conflicts"} {
+		f.add("platform", phase+"_"+kind, size, s.end.Platform[kind]-s.begin.Platform[kind])
+	}
+}
+
 // addChanges adds what one change costs a node, beside what it costs idle. The
 // value "changes" tells how many there were.
 func (f *figures) addChanges(s, idle span) {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -2,13 +2,14 @@
 # capacity.sh: what a node and the platform bear against the size of the fleet,
 # on real processes. For each size it starts a fleet in several services, and
 # measures it idle, under a light load, and through changes of configuration,
-# with the 4 services of one organisation and with 120, then idle with these. At the smallest size it
-# also measures the processor time of requests by role. Prints one line a
-# figure and a table at the target size.
+# with the 4 services of one organisation and with 120; then idle with these, and
+# while a data centre is lost and returns. At the smallest size it also measures
+# the processor time of requests by role. Prints one line a figure and a table at
+# the target size.
 #
 # SIZES are the fleets' sizes; QUICK=1 chooses two small ones and short phases.
 # NET chooses the addresses, SEED seeds the load, and KEEP names a directory for
-# logs and snapshots. A fleet takes about 100 MB a node.
+# logs and snapshots. A fleet takes about 30 MB a node.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 NET=${NET:-127.4}
@@ -26,6 +27,8 @@
 # LIGHT_RATE is the light load in requests per second for each node, ROLE_RATE
 # the load of one ingress node when roles are measured.
 readonly LIGHT_RATE=10 ROLE_RATE=300
+# EVENT_SECONDS is how long the loss and the return of a data centre are watched.
+readonly EVENT_SECONDS=15
 # TIMED_CHANGES is how many changes are timed until they are in force
 # everywhere, IN_FORCE_SECONDS how long one may take.
 readonly TIMED_CHANGES=5 IN_FORCE_SECONDS=15
@@ -82,7 +85,7 @@
 # snapshot PHASE [VALUES] adds a snapshot of the fleet.
 snapshot() {
   VT_TOKEN=$ADMIN_TOKEN "$BIN/vtbench" snapshot -places "$OUT/places" -platform "$PLATFORM" \
-    -phase "$1" -values "${2:-}" -out "$OUT/snapshots"
+    -phase "$1" -values "${2:-}" -size "${#NODES[@]}" -out "$OUT/snapshots"
 }
 
 # object_bytes PREFIX prints the size of the platform's list, in bytes.
@@ -191,9 +194,35 @@
   snapshot idle-120-services
   sleep "$IDLE_SECONDS"
   snapshot idle-120-services
+  lose_datacentre
   stop_fleet
 }
 
+# lose_datacentre kills the nodes of the last data centre at once and starts them
+# anew, and measures both at the other nodes. It comes last: places are then
+# those of the other nodes.
+lose_datacentre() {
+  local dc=${DATACENTRES[2]} node i
+  write_places
+  grep -v "^$dc-" "$OUT/places" >"$OUT/places.left"
+  mv "$OUT/places.left" "$OUT/places"
+  snapshot lost
+  for i in "${!pids[@]}"; do
+    [[ ${labels[i]} == node-$dc-* ]] || continue
+    kill -KILL "${pids[i]}"
+    wait "${pids[i]}" 2>/dev/null || true
+    unset "pids[i]" "labels[i]"
+  done
+  sleep "$EVENT_SECONDS"
+  snapshot lost
+  snapshot back
+  for node in "${NODES[@]}"; do
+    [[ ${DC_OF[$node]} != "$dc" ]] || start_node "$node"
+  done
+  sleep "$EVENT_SECONDS"
+  snapshot back
+}
+
 # stop_fleet ends the processes; planned stops have measures of their own.
 stop_fleet() {
   local pid
