--- a/node/settings.go
+++ b/node/settings.go
@@ -94,7 +94,8 @@
 	Witnesses int `yaml:"witnesses"`
 	// MaxClaims bounds the claims kept for a partition. Default 100000.
 	MaxClaims int `yaml:"max_claims"`
-	// MaxAnswerMemory bounds the bytes of kept answers. Default 16 MiB.
+	// MaxAnswerMemory bounds the bytes of kept answers of a partition. Default
+	// 16 MiB.
 	MaxAnswerMemory int `yaml:"max_answer_memory"`
 }
 
