Keep the run of capacity short

Cause: with its new phases a run over four sizes took more than eight minutes by the sum of its phases.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -28,7 +28,7 @@
 # the load of one ingress node when roles are measured.
 readonly LIGHT_RATE=10 ROLE_RATE=300
 # EVENT_SECONDS is how long the loss and the return of a data centre are watched.
-readonly EVENT_SECONDS=${EVENT_SECONDS:-15}
+readonly EVENT_SECONDS=${EVENT_SECONDS:-10}
 # TIMED_CHANGES is how many changes are timed until they are in force
 # everywhere, IN_FORCE_SECONDS how long one may take.
 readonly TIMED_CHANGES=5 IN_FORCE_SECONDS=15
