--- a/node/guard.go
+++ b/node/guard.go
@@ -32,7 +32,7 @@
 	// broken is called when a connection to the target broke or was refused.
 	broken func(address string)
 	target atomic.Pointer[targetClient]
-	// waiting holds patient requests while the target is full.
+	// waiting holds requests that may wait while the target is full.
 	waiting *waiting
 	// cancelGrace is how long a cancelled request keeps its slot, since the
 	// target goes on with it until it sees that the connection was closed.
@@ -43,7 +43,7 @@
 func (g *guard) serve(ctx context.Context, o *order) result {
 	try := func() (admission.Ticket, *admission.Refusal) { return g.admit(o, time.Now()) }
 	ticket, refusal := try()
-	if o.patience.take() && refusal != nil {
+	if o.mayWait.take() && refusal != nil {
 		ticket, refusal = g.waiting.admit(ctx, refusal, try)
 	}
 	if refusal != nil {
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -133,7 +133,7 @@
 		suspect:     h.Get(request.HeaderSuspect) != "",
 		deadline:    deadline,
 		expiry:      expiry,
-		patience:    sentPatience(h),
+		mayWait:     sentPermit(h),
 	}, nil
 }
 
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -129,7 +129,7 @@
 		body:     body,
 		key:      key,
 		deadline: deadline,
-		patience: &patience{},
+		mayWait:  &waitPermit{},
 	}
 	o.header.Set("X-Forwarded-Host", r.Host)
 	o.fingerprint = request.NewFingerprint(o.method, string(service.ID)+o.uri, body)
--- a/node/order.go
+++ b/node/order.go
@@ -40,8 +40,8 @@
 	deadline request.Deadline
 	// expiry is when the order must not reach a target any more. Zero: never.
 	expiry time.Time
-	// patience lets one attempt wait at a full guard. Nil lets none.
-	patience *patience
+	// mayWait lets one attempt wait at a full guard. Nil lets none.
+	mayWait *waitPermit
 }
 
 // httpRequest returns the order as an HTTP request to base, a URL without
@@ -94,8 +94,8 @@
 	if o.suspect {
 		h.Set(request.HeaderSuspect, "1")
 	}
-	if hop == request.HopGuard && o.patience.take() {
-		h.Set(headerPatient, "1")
+	if hop == request.HopGuard && o.mayWait.take() {
+		h.Set(headerMayWait, "1")
 	}
 	if !o.expiry.IsZero() {
 		h.Set(request.HeaderExpiry, strconv.FormatInt(o.expiry.UnixMilli(), 10))
@@ -122,7 +122,7 @@
 	request.HeaderOutcome,
 	headerFingerprint,
 	headerHopKey,
-	headerPatient,
+	headerMayWait,
 }
 
 // connectionHeaders belong to one connection and are never sent on.
--- a/node/settled_test.go
+++ b/node/settled_test.go
@@ -6,9 +6,11 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"verbenatrestle/request"
 	"verbenatrestle/request/balance"
@@ -53,3 +55,29 @@
 		Expect(res.failure.Outcome).To(Equal(request.Unknown))
 	})
 })
+
+// Whatever the ends of a request's attempts, it is not-run only if each of
+// them was not run.
+func TestSettledSaysNotRunOnlyOfWhatWasNotRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ends := rapid.SliceOfN(rapid.SampledFrom([]string{"answer", "not-run", "unknown", "done"}), 1, 6).Draw(t, "ends")
+		var all settled
+		ran := false
+		for _, end := range ends {
+			res := result{}
+			if end == "answer" {
+				res.answer = &answer{status: http.StatusInternalServerError}
+			} else {
+				res.failure = &request.Failure{Outcome: request.Outcome(end)}
+			}
+			ran = ran || end != "not-run"
+			got := all.add(res)
+			if got.failure == nil {
+				continue
+			}
+			if said := got.failure.Outcome == request.NotRun; said == ran {
+				t.Fatalf("after %v: not-run said %v, may have run %v", ends, said, ran)
+			}
+		}
+	})
+}
--- a/node/waiting_test.go
+++ b/node/waiting_test.go
@@ -136,18 +136,18 @@
 	}
 }
 
-func TestOneAttemptIsPatient(t *testing.T) {
-	p := &patience{}
-	if !p.take() || p.take() || (*patience)(nil).take() {
+func TestOneAttemptMayWait(t *testing.T) {
+	p := &waitPermit{}
+	if !p.take() || p.take() || (*waitPermit)(nil).take() {
 		t.Fatal("not just the first attempt may wait")
 	}
 	guard := http.Header{request.HeaderHop: {request.HopGuard}}
-	if sentPatience(guard) != nil {
-		t.Fatal("patience that was not sent")
+	if sentPermit(guard) != nil {
+		t.Fatal("a permit that was not sent")
 	}
-	guard.Set(headerPatient, "1")
+	guard.Set(headerMayWait, "1")
 	owner := http.Header{request.HeaderHop: {request.HopOwner}}
-	if sentPatience(guard) == nil || sentPatience(owner) == nil {
-		t.Fatal("patience was lost on the hop")
+	if sentPermit(guard) == nil || sentPermit(owner) == nil {
+		t.Fatal("the permit was lost on the hop")
 	}
 }
