Compare with a plain round robin as well

Cause: every compared policy ran behind our guards, retries and hedges, so "round robin" was not what a simple balancer does. Change: "plain" is round robin without retries and hedges, with a fixed limit at the slots; the ratio line names it. The comparison with round robin behind the same guards stays.

--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -62,7 +62,7 @@
 	}
 	ours := &summaries[i]
 	parts := []string{fmt.Sprintf("ratio %s p99", scenario)}
-	for _, other := range []string{"roundrobin", "oracle"} {
+	for _, other := range []string{"roundrobin", "plain", "oracle"} {
 		if j := index(summaries, scenario, other); j >= 0 {
 			parts = append(parts, fmt.Sprintf("ours/%s=%.2f", other, ours.P99/summaries[j].P99))
 		}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,7 +3,8 @@
 # separate processes, in rounds that take turns. Options by environment:
 #
 #   ORG        kodumala, flavour-trials or both (default)
-#   POLICIES   policies to compare; "ours" is the node's default. A name may
+#   POLICIES   policies to compare; "ours" is the node's default, "plain" round
+#              robin without retries, hedges and an adaptive limit. A name may
 #              carry settings: NAME+KEY=VALUE, as in ours+admission_limit=vegas
 #   LIMITS     adaptive limits; each is compared under the node's default policy
 #   SCENARIOS  steady noisy failfast coldreturn overload (default), uneven
@@ -22,7 +23,7 @@
 readonly SCENARIOS=${SCENARIOS:-steady noisy failfast coldreturn overload}
 readonly ROUNDS=${ROUNDS:-2} ROUND_SECONDS=${SECONDS_PER_ROUND:-4} SEED=${SEED:-20261203}
 readonly ROOT=${OUT:-$(mktemp -d)}
-policies=(${POLICIES:-random roundrobin leastreported twochoices ours oracle})
+policies=(${POLICIES:-plain random roundrobin leastreported twochoices ours oracle})
 for limit in ${LIMITS:-}; do policies+=("ours+admission_limit=$limit"); done
 # WARM_SECONDS is how long a fleet is driven before each round, and
 # START_SECONDS before its first; WARM_SHARE is the load then.
@@ -75,6 +76,14 @@
 # tune SCENARIO sets the service time of the fleet in use.
 tune() { "$BIN/vtbench" tune -targets "$(places)" -service-time "$(service_ms "$1")ms"; }
 
+# plain_settings prints the settings of round robin as simple balancers do it:
+# no retry, no hedge, and a fixed limit at the targets' slots.
+plain_settings() {
+  echo "policy: roundrobin"
+  echo "admission_limit: fixed"
+  echo "budgets: {retry_share: 0, hedge_share: 0}"
+}
+
 # settings POLICY prints the settings of a policy's nodes.
 settings() {
   local part
@@ -82,6 +91,7 @@
     case $part in
       ours) ;;
       oracle) echo "policy: oracle"; echo "oracle_address: http://${PLATFORM%:*}:$ORACLE_PORT/" ;;
+      plain) plain_settings ;;
       *=*) echo "${part%%=*}: ${part#*=}" ;;
       *) echo "policy: $part" ;;
     esac
