Log a peer that can't be reached once, and crossing dials not at all

Cause: each failed dial to a neighbour that was down logged an error, about two a second, and "link down" beside it; each start of a fleet logged dials that crossed as errors, though one of both is meant to give way. Ruled out: a lower level for all of it, which hides the first failure. Change: the first failed dial since a link was open is logged; a dial that crosses this node's own is neither logged nor counted as a failed handshake; link changes are debug lines of the node. Tests: TestOnlyTheFirstOfFailedDialsIsNews, TestOnlyACrossingDialIsNoFault. Nothing timed measured; metrics still count every failed dial.

--- a/connection/peerlink/dial.go
+++ b/connection/peerlink/dial.go
@@ -26,10 +26,12 @@
 		return
 	}
 	err = errors.Wrapf(err, "dial peer %s", p.name)
-	dropped := p.dialFailed(now, err, l.opts.Limits, rand.Float64())
+	dropped, first := p.dialFailed(now, err, l.opts.Limits, rand.Float64())
 	l.counts.dialsFailed.Inc(1)
 	l.counts.queueDrops.Inc(int64(dropped))
-	l.logBad("dial peer", p.name, err)
+	if first {
+		l.logBad("dial peer", p.name, err)
+	}
 }
 
 // dialOnce dials, shakes hands and gives the connection to the event loop.
--- a/connection/peerlink/events.go
+++ b/connection/peerlink/events.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/gobwas/ws"
@@ -234,6 +235,9 @@
 	}
 	k.fail(now, err)
 	if k.peer == nil {
+		if crossed(err) {
+			return
+		}
 		l.counts.handshakesFailed.Inc(1)
 		l.logBad("accept handshake", k.remote, err)
 		return
@@ -242,6 +246,13 @@
 	l.logBad("read frames", k.peer.name, err)
 }
 
+// crossed reports whether a dial was refused because it crossed this node's
+// own, which is no fault.
+func crossed(err error) bool {
+	var rejected *ws.ConnectionRejectedError
+	return errors.As(err, &rejected) && rejected.StatusCode() == http.StatusConflict
+}
+
 // add keeps a connection, within the bound on strangers.
 func (l *Links) add(k *link) bool {
 	l.mu.Lock()
--- a/connection/peerlink/peer.go
+++ b/connection/peerlink/peer.go
@@ -166,19 +166,21 @@
 	return true
 }
 
-// dialFailed notes a failed dial and returns how many messages it dropped.
-func (p *peer) dialFailed(now time.Time, err error, limits Limits, jitter float64) int {
+// dialFailed notes a failed dial. It returns how many messages it dropped, and
+// whether it is the first that failed since a link was open.
+func (p *peer) dialFailed(now time.Time, err error, limits Limits, jitter float64) (dropped int, first bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialling = false
 	if p.link != nil {
-		return 0
+		return 0, false
 	}
 	p.conflicts = 0
+	first = p.pause == 0
 	p.pause = min(max(2*p.pause, limits.RedialMin), limits.RedialMax)
 	p.nextDial = now.Add(time.Duration((0.5 + jitter) * float64(p.pause)))
 	p.inbox.push(event{down: true, err: err})
-	return p.clear()
+	return p.clear(), first
 }
 
 // dialRefused notes a dial that gave way to the peer's own dial. It returns
--- a/node/peers.go
+++ b/node/peers.go
@@ -82,7 +82,7 @@
 	if err == nil {
 		return
 	}
-	_ = level.Info(p.logger).Log("msg", "link down", "step", "link", "peer", peer, "err", err)
+	_ = level.Debug(p.logger).Log("msg", "link down", "step", "link", "peer", peer, "err", err)
 	p.send(p.table.LinkDown(time.Now(), peer))
 }
 
