--- a/connection/peerlink/quiet_test.go
+++ b/connection/peerlink/quiet_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestOnlyTheFirstOfFailedDialsIsNews(t *testing.T) {
-	p := &peer{name: "b"}
+	p := &peer{name: "b", inbox: inbox{handle: func(event) {}}}
 	now := time.Unix(1000, 0)
 	for i := range 3 {
 		_, first := p.dialFailed(now, errors.New("refused"), DefaultLimits(), 0.5)
