Give make agreement a net of its own

Cause: started beside make faults it took the same addresses: its measures spread and stalled broke off, and the faults run had to be thrown away. Change: 127.11 in place of 127.5. Nothing measured.

--- a/scripts/agreement.sh
+++ b/scripts/agreement.sh
@@ -7,7 +7,7 @@
 # NET chooses the addresses, and KEEP names a directory for logs and reports.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-NET=${NET:-127.5}
+NET=${NET:-127.11}
 source scripts/lib.sh
 source scripts/trial.sh
 
