Close a leaving node's connections after an answer, not while they are idle

Cause: make test in a fresh clone: "cuts off nothing when a node stops as planned under load" FAILED: 1 send with "connection broke". A planned stop first turned keep-alive off, and net/http then closes all idle connections at once: a request on its way on one of them is cut off. Ruled out: cut requests that were being served; Shutdown waits for them. Change: from the start of its stop a node asks, in each answer to callers and to other nodes, for the connection to be closed, and closes idle ones last. The new spec tests the header; what is left is a connection that is idle from the start of the stop and used in the moment of its end, which HTTP/1.1 can't rule out.

--- a/node/build.go
+++ b/node/build.go
@@ -220,8 +220,8 @@
 func (n *Node) buildServers() error {
 	n.versions = &versions{self: n.settings.Name, table: n.table, store: n.config.store, hops: n.hops}
 	n.servers = newServers(n.settings, n.logger, handlers{
-		callers: n.ingress,
-		hop: &hopServer{
+		callers: closing(&n.leaving, n.ingress),
+		hop: closing(&n.leaving, &hopServer{
 			self:      n.settings.Name,
 			key:       n.settings.Secrets.PeerKey,
 			snapshot:  n.config.snapshot,
@@ -229,7 +229,7 @@
 			owner:     n.owner,
 			versions:  n.versions,
 			measuring: n.measuring,
-		},
+		}),
 		admin:    n.adminHandler(),
 		announce: (&announceServer{local: n.target}).handler(),
 	})
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -332,6 +332,27 @@
 	})
 })
 
+var _ = Describe("a node that leaves", func() {
+	It("asks for connections to be closed, and takes requests on them until then", func() {
+		var leaving atomic.Bool
+		p := newPath(echo)
+		server := httptest.NewServer(closing(&leaving, p.ingress))
+		defer server.Close()
+		p.caller = server
+		for _, left := range []bool{false, true} {
+			leaving.Store(left)
+			r, err := http.NewRequest(http.MethodGet, server.URL+"/s/peaks", nil)
+			Expect(err).NotTo(HaveOccurred())
+			r.Host = "org.example"
+			resp, err := http.DefaultClient.Do(r)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			Expect(resp.Close).To(Equal(left))
+		}
+	})
+})
+
 // orderTaker remembers the last order that it was given.
 type orderTaker struct{ last *order }
 
--- a/node/servers.go
+++ b/node/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,8 +22,8 @@
 	readHeaderTimeout = 5 * time.Second
 	// callerIdleTimeout is how long a caller's unused connection is kept.
 	callerIdleTimeout = 3 * time.Minute
-	// lingerBeforeStop is how long a stopping node still takes requests on
-	// connections that are open, telling callers to close them.
+	// lingerBeforeStop is how long a stopping node still takes requests, with
+	// answers that ask for the connection to be closed.
 	lingerBeforeStop = 300 * time.Millisecond
 )
 
@@ -31,6 +32,18 @@
 	callers, hop, admin, announce http.Handler
 }
 
+// closing asks for each connection to be closed after its answer while the
+// node is leaving. Closing idle connections in place of that could cut off a
+// request that is on its way on one of them.
+func closing(leaving *atomic.Bool, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // servers are the node's HTTP servers.
 type servers struct {
 	logger   log.Logger
@@ -92,10 +105,8 @@
 // stop ends the servers once their requests have ended: first the callers',
 // then the hops that other nodes and the callers' requests need.
 func (s *servers) stop(ctx context.Context) error {
-	s.callers.SetKeepAlivesEnabled(false)
 	wait.For(ctx, lingerBeforeStop)
 	err := s.callers.Shutdown(ctx)
-	s.hop.SetKeepAlivesEnabled(false)
 	wait.For(ctx, lingerBeforeStop)
 	var group errgroup.Group
 	for _, server := range []*http.Server{s.hop, s.admin, s.announce} {
