--- a/connection/peerlink/options.go
+++ b/connection/peerlink/options.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -106,30 +107,23 @@
 // withDefaults returns the limits with zero fields set to their defaults.
 func (l Limits) withDefaults() Limits {
 	d := DefaultLimits()
-	setDefault(&l.MaxMessageBytes, d.MaxMessageBytes)
-	setDefault(&l.QueueMessages, d.QueueMessages)
-	setDefault(&l.QueueBytes, d.QueueBytes)
-	setDefault(&l.InboxMessages, d.InboxMessages)
-	setDefault(&l.InboxBytes, d.InboxBytes)
-	setDefault(&l.MaxPending, d.MaxPending)
-	setDefault(&l.MaxNonces, d.MaxNonces)
-	setDefault(&l.HandshakeTimeout, d.HandshakeTimeout)
-	setDefault(&l.ClockWindow, d.ClockWindow)
-	setDefault(&l.PingInterval, d.PingInterval)
-	setDefault(&l.SilenceTimeout, d.SilenceTimeout)
-	setDefault(&l.IdleTimeout, d.IdleTimeout)
-	setDefault(&l.RedialMin, d.RedialMin)
-	setDefault(&l.RedialMax, d.RedialMax)
+	l.MaxMessageBytes = cmp.Or(l.MaxMessageBytes, d.MaxMessageBytes)
+	l.QueueMessages = cmp.Or(l.QueueMessages, d.QueueMessages)
+	l.QueueBytes = cmp.Or(l.QueueBytes, d.QueueBytes)
+	l.InboxMessages = cmp.Or(l.InboxMessages, d.InboxMessages)
+	l.InboxBytes = cmp.Or(l.InboxBytes, d.InboxBytes)
+	l.MaxPending = cmp.Or(l.MaxPending, d.MaxPending)
+	l.MaxNonces = cmp.Or(l.MaxNonces, d.MaxNonces)
+	l.HandshakeTimeout = cmp.Or(l.HandshakeTimeout, d.HandshakeTimeout)
+	l.ClockWindow = cmp.Or(l.ClockWindow, d.ClockWindow)
+	l.PingInterval = cmp.Or(l.PingInterval, d.PingInterval)
+	l.SilenceTimeout = cmp.Or(l.SilenceTimeout, d.SilenceTimeout)
+	l.IdleTimeout = cmp.Or(l.IdleTimeout, d.IdleTimeout)
+	l.RedialMin = cmp.Or(l.RedialMin, d.RedialMin)
+	l.RedialMax = cmp.Or(l.RedialMax, d.RedialMax)
 	return l
 }
 
-// setDefault sets *value to fallback when it is zero.
-func setDefault[T int | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 // check reports the first option that can't be used.
 func (o Options) check() error {
 	switch {
--- a/internal/standin/load/config.go
+++ b/internal/standin/load/config.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"io"
 	"time"
 
@@ -49,10 +50,10 @@
 }
 
 func (c *Config) complete() error {
-	setDefault(&c.Timeout, DefaultTimeout)
-	setDefault(&c.MaxSends, DefaultMaxSends)
-	setDefault(&c.RetryAfterCap, DefaultRetryAfterCap)
-	setDefault(&c.Duplicates, DefaultDuplicates)
+	c.Timeout = cmp.Or(c.Timeout, DefaultTimeout)
+	c.MaxSends = cmp.Or(c.MaxSends, DefaultMaxSends)
+	c.RetryAfterCap = cmp.Or(c.RetryAfterCap, DefaultRetryAfterCap)
+	c.Duplicates = cmp.Or(c.Duplicates, DefaultDuplicates)
 	if c.Progress == nil {
 		c.Progress = io.Discard
 	}
@@ -61,10 +62,3 @@
 	}
 	return errors.Wrap(c.Mix.check(), "load: mix")
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/standin/target/options.go
+++ b/internal/standin/target/options.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/go-kit/log"
@@ -81,18 +82,18 @@
 }
 
 func (o *Options) complete() {
-	setDefault(&o.Instance, uuid.NewString())
-	setDefault(&o.Slots, DefaultSlots)
-	setDefault(&o.Queue, 4*o.Slots)
-	setDefault(&o.Connections, DefaultConnections)
-	setDefault(&o.ColdLimit, min(DefaultColdLimit, o.Slots))
-	setDefault(&o.WarmAnswers, DefaultWarmAnswers)
-	setDefault(&o.ColdFactor, DefaultColdFactor)
-	setDefault(&o.ColdGrace, DefaultColdGrace)
-	setDefault(&o.Stall, DefaultStall)
-	setDefault(&o.ServiceTime, DefaultService)
-	setDefault(&o.OpenCost, DefaultOpenCost)
-	setDefault(&o.DrainWait, DefaultDrainWait)
+	o.Instance = cmp.Or(o.Instance, uuid.NewString())
+	o.Slots = cmp.Or(o.Slots, DefaultSlots)
+	o.Queue = cmp.Or(o.Queue, 4*o.Slots)
+	o.Connections = cmp.Or(o.Connections, DefaultConnections)
+	o.ColdLimit = cmp.Or(o.ColdLimit, min(DefaultColdLimit, o.Slots))
+	o.WarmAnswers = cmp.Or(o.WarmAnswers, DefaultWarmAnswers)
+	o.ColdFactor = cmp.Or(o.ColdFactor, DefaultColdFactor)
+	o.ColdGrace = cmp.Or(o.ColdGrace, DefaultColdGrace)
+	o.Stall = cmp.Or(o.Stall, DefaultStall)
+	o.ServiceTime = cmp.Or(o.ServiceTime, DefaultService)
+	o.OpenCost = cmp.Or(o.OpenCost, DefaultOpenCost)
+	o.DrainWait = cmp.Or(o.DrainWait, DefaultDrainWait)
 	o.Queue = max(o.Queue, 0)
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
@@ -110,10 +111,3 @@
 	}
 	return nil
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/process/membership/options.go
+++ b/process/membership/options.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options are the settings of a Table; zero fields take their defaults.
 type Options struct {
@@ -60,26 +63,19 @@
 // withDefaults returns the options with zero fields set to their defaults.
 func (o Options) withDefaults() Options {
 	d := DefaultOptions()
-	setDefault(&o.Period, d.Period)
-	setDefault(&o.Probes, d.Probes)
-	setDefault(&o.SuspectAfter, d.SuspectAfter)
-	setDefault(&o.ConfirmAfter, d.ConfirmAfter)
-	setDefault(&o.ForgetAfter, d.ForgetAfter)
-	setDefault(&o.ReconnectEvery, d.ReconnectEvery)
-	setDefault(&o.SyncAfter, d.SyncAfter)
-	setDefault(&o.SyncEvery, d.SyncEvery)
-	setDefault(&o.MaxMembers, d.MaxMembers)
-	setDefault(&o.PiggybackBytes, d.PiggybackBytes)
-	setDefault(&o.UrgentPerSecond, d.UrgentPerSecond)
-	setDefault(&o.UrgentBurst, d.UrgentBurst)
-	setDefault(&o.MaxRumours, d.MaxRumours)
-	setDefault(&o.MaxRumourBytes, d.MaxRumourBytes)
+	o.Period = cmp.Or(o.Period, d.Period)
+	o.Probes = cmp.Or(o.Probes, d.Probes)
+	o.SuspectAfter = cmp.Or(o.SuspectAfter, d.SuspectAfter)
+	o.ConfirmAfter = cmp.Or(o.ConfirmAfter, d.ConfirmAfter)
+	o.ForgetAfter = cmp.Or(o.ForgetAfter, d.ForgetAfter)
+	o.ReconnectEvery = cmp.Or(o.ReconnectEvery, d.ReconnectEvery)
+	o.SyncAfter = cmp.Or(o.SyncAfter, d.SyncAfter)
+	o.SyncEvery = cmp.Or(o.SyncEvery, d.SyncEvery)
+	o.MaxMembers = cmp.Or(o.MaxMembers, d.MaxMembers)
+	o.PiggybackBytes = cmp.Or(o.PiggybackBytes, d.PiggybackBytes)
+	o.UrgentPerSecond = cmp.Or(o.UrgentPerSecond, d.UrgentPerSecond)
+	o.UrgentBurst = cmp.Or(o.UrgentBurst, d.UrgentBurst)
+	o.MaxRumours = cmp.Or(o.MaxRumours, d.MaxRumours)
+	o.MaxRumourBytes = cmp.Or(o.MaxRumourBytes, d.MaxRumourBytes)
 	return o
 }
-
-// setDefault sets *value to fallback when it is zero.
-func setDefault[T int | float64 | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
