--- a/cmd/vtnode/main.go
+++ b/cmd/vtnode/main.go
@@ -4,6 +4,7 @@
 // Usage:
 //
 //	vtnode run -settings node.yaml
+//	vtnode serve
 //	vtnode check -settings node.yaml
 //
 // SIGTERM and SIGINT start a planned stop: the node hands over what it owns,
@@ -25,6 +26,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/cmd/vtnode/serve.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"verbenatrestle/gateway"
+	"verbenatrestle/platform"
+)
+
+// serveCommand runs a node on a prepared platform.
+type serveCommand struct {
+	settings string
+}
+
+// Name implements subcommands.Command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serveCommand) Synopsis() string { return "run a node on a prepared platform" }
+
+// Usage implements subcommands.Command.
+func (*serveCommand) Usage() string { return "serve [-settings FILE]\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", settingsPath(), "YAML `file` of the node's settings")
+}
+
+// settingsPath returns where the platform puts the settings file.
+func settingsPath() string {
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return path
+	}
+	return platform.DefaultSettings
+}
+
+// Execute implements subcommands.Command.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := gateway.LoadSettings(c.settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vtnode:", err)
+		return subcommands.ExitUsageError
+	}
+	n, err := gateway.New(settings, os.Stdout)
+	if err == nil {
+		err = n.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vtnode:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"verbenatrestle/connection/pipeline"
+	"verbenatrestle/process/fleet"
+	"verbenatrestle/process/gate"
+	"verbenatrestle/process/journal"
+)
+
+// logRates bound the log. A node's share of the fleet's traffic is some twenty
+// requests a second, so failures are kept whole but in a storm.
+var logRates = journal.Rates{Change: 50, Failure: 40, Routine: 5}
+
+// events writes the node's log: one line for each decision that touches a
+// request or changes what the node believes. All events and their fields are
+// defined here.
+type events struct {
+	journal *journal.Journal
+	meters  *meters
+}
+
+// log writes a line of an event that only one place knows.
+func (e *events) log(class journal.Class, event string, pairs ...any) {
+	e.journal.Log(class, event, pairs...)
+}
+
+// requestEnded tells the end of a caller's request and what decided it.
+func (e *events) requestEnded(d *dispatch, r *result, now time.Time) {
+	took := now.Sub(d.started)
+	status := 0
+	if r.answer != nil {
+		status = r.answer.Status
+	}
+	late := took > d.order.objective
+	e.meters.ended(d, r, took, late)
+	class := journal.Routine
+	if late || status == 0 || status >= http.StatusInternalServerError {
+		class = journal.Failure
+	}
+	pairs := []any{
+		"request", d.order.work.ID, "route", d.rule.Name, "config", d.table.number(), "service", d.order.service,
+		"status", status, "took_ms", took.Milliseconds(), "objective_ms", d.order.objective.Milliseconds(),
+		"asked", d.asked, "sends", d.sends, "node", d.chosen.Node, "instance", d.chosen.Instance,
+		"running", d.chosen.Running, "waiting", d.chosen.Waiting, "speed", d.chosen.Speed,
+		"load_age_ms", d.chosen.LoadAge.Milliseconds(),
+	}
+	if r.answer == nil {
+		pairs = append(pairs, "outcome", r.outcome, "reason", r.reason, "retry_after_ms", d.retryAfter.Milliseconds(), "err", errText(r.err))
+	}
+	e.journal.Log(class, "request", pairs...)
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// noRoute tells of a request that no route takes.
+func (e *events) noRoute(id string, r *pipeline.Request, config uint64) {
+	e.meters.noRoute.Inc(1)
+	e.journal.Log(journal.Failure, "no_route", "request", id, "host", r.Host, "path", r.Path, "config", config)
+}
+
+// rejected tells of a request that could not be read.
+func (e *events) rejected(status int, reason string) {
+	e.meters.rejected.Inc(1)
+	e.journal.Log(journal.Failure, "rejected", "status", status, "reason", reason)
+}
+
+// gateRefused tells of a request that the gate of the own target refused.
+func (e *events) gateRefused(o *order, reason gate.Refusal, after time.Duration, load fleet.Load) {
+	e.meters.refused(reason)
+	e.journal.Log(journal.Failure, "gate_refused", "request", o.work.ID, "route", o.work.Kind, "reason", string(reason),
+		"running", load.Running, "waiting", load.Waiting, "speed", load.Speed, "open", load.Open,
+		"repeat", o.work.Repeat, "retry_after_ms", after.Milliseconds())
+}
+
+// fenced tells whether a request was fenced off for another node.
+func (e *events) fenced(id, peer string, same, fenced bool) {
+	e.journal.Log(journal.Failure, "fence", "request", id, "peer", peer, "same_incarnation", same, "fenced", fenced)
+}
+
+// configChanged tells of a new configuration, or of data centres taken out or
+// back.
+func (e *events) configChanged(before, after *routeState, source string) {
+	e.journal.Log(journal.Change, "config", "config", after.number(), "was", before.number(),
+		"out", after.out, "out_was", before.out, "out_revision", after.outRevision, "source", source)
+}
+
+// targetChanged tells of a report that changed what is known of the target.
+func (e *events) targetChanged(r gate.Report, before, after gate.State) {
+	e.journal.Log(journal.Change, "target", "instance", r.Instance, "was", before.Instance, "service", r.Service,
+		"sequence", r.Sequence, "born", r.Born, "leaving", r.Leaving, "open", after.Open, "slots", r.Slots,
+		"cold_left_ms", after.ColdLeft.Milliseconds())
+}
+
+// targetDown tells of a target that takes no connections.
+func (e *events) targetDown(instance string, err error) {
+	e.journal.Log(journal.Change, "target_down", "instance", instance, "err", errText(err))
+}
+
+// targetChecked tells of a health check that changed what is known.
+func (e *events) targetChecked(s gate.State) {
+	e.journal.Log(journal.Change, "target_checked", "instance", s.Instance, "open", s.Open, "cold_left_ms", s.ColdLeft.Milliseconds())
+}
+
+// reportIgnored tells of a report that names no target to use.
+func (e *events) reportIgnored(r gate.Report, reason string) {
+	e.journal.Log(journal.Change, "report_ignored", "instance", r.Instance, "sequence", r.Sequence, "born", r.Born, "reason", reason)
+}
+
+// badMessage tells of a message that can't be used.
+func (e *events) badMessage(kind, peer string, err error) {
+	e.meters.badMessages.Inc(1)
+	e.journal.Log(journal.Change, "bad_message", "kind", kind, "peer", peer, "err", errText(err))
+}
+
+// silences tells of peers lost and regained.
+func (e *events) silences(changes []fleet.Change) {
+	for _, c := range changes {
+		event := "dependency_lost"
+		if c.Back {
+			event = "dependency_back"
+		}
+		e.journal.Log(journal.Change, event, "dependency", "peer", "peer", c.Node, "silent_ms", c.Silent.Milliseconds())
+	}
+}
--- /dev/null
+++ b/gateway/guard.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/connection/exchange"
+	"verbenatrestle/platform"
+	"verbenatrestle/process/fleet"
+	"verbenatrestle/process/gate"
+	"verbenatrestle/process/journal"
+	"verbenatrestle/request"
+)
+
+const (
+	// answerGrace is how long the answer of a target may take past the deadline
+	// that it was given: it stops by itself then, and says so.
+	answerGrace = 120 * time.Millisecond
+	// targetDialTimeout bounds the opening of a connection to the target, which
+	// runs on the same VM.
+	targetDialTimeout = 300 * time.Millisecond
+	// targetIdle is how long a connection to the target is kept idle. Targets
+	// that say less are believed.
+	targetIdle = 8 * time.Second
+	// onceIdle is how long a connection may have been idle for a request that
+	// must not run twice: the target may close an idle one at any moment, and a
+	// request that meets the close is lost.
+	onceIdle = time.Second
+	// spareConnections of the target's limit stay unused, for connections that
+	// the target has not seen closed yet.
+	spareConnections = 8
+	// minSendLeft is the least time left with which a request is still sent.
+	minSendLeft = 3 * time.Millisecond
+)
+
+// guard is the only way into the target beside the node.
+type guard struct {
+	node *Node
+
+	mu   sync.Mutex
+	gate *gate.Gate
+	pool *exchange.Pool
+	// answeredAt is when the target last told its load.
+	answeredAt time.Time
+}
+
+func newGuard(n *Node, settings gate.Settings) *guard {
+	return &guard{node: n, gate: gate.New(settings)}
+}
+
+// state returns the gate's state.
+func (g *guard) state(now time.Time) gate.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.State(now)
+}
+
+func loadOf(s gate.State) fleet.Load {
+	return fleet.Load{Running: s.Running, Waiting: s.Waiting, Speed: s.Speed, Open: s.Open}
+}
+
+// run takes one attempt through the gate and to the target.
+func (g *guard) run(ctx context.Context, o *order) result {
+	now := time.Now()
+	if reason, after := g.admit(ctx, o, now); reason != "" {
+		r := refused(string(reason), after)
+		r.load, r.loaded = loadOf(g.state(time.Now())), true
+		g.node.events.gateRefused(o, reason, after, r.load)
+		return r
+	}
+	r := g.send(ctx, o)
+	r.load, r.loaded = loadOf(g.state(time.Now())), true
+	return r
+}
+
+// admit waits until the request may pass, or returns why it may not.
+func (g *guard) admit(ctx context.Context, o *order, now time.Time) (gate.Refusal, time.Duration) {
+	g.mu.Lock()
+	if g.gate.State(now).Service != o.service {
+		g.mu.Unlock()
+		return gate.RefusedService, 0
+	}
+	decision := g.gate.Offer(o.work, now)
+	g.mu.Unlock()
+	if decision.Wait == nil {
+		return decision.Refused, decision.RetryAfter
+	}
+	select {
+	case reason := <-decision.Wait.Result:
+		return reason, decision.Wait.RetryAfter
+	case <-ctx.Done():
+		return g.cancel(decision.Wait, o), 0
+	}
+}
+
+// cancel takes a request out of the queue, or ends it if it has just passed.
+func (g *guard) cancel(ticket *gate.Ticket, o *order) gate.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.gate.Cancel(ticket) {
+		return gate.RefusedLate
+	}
+	if reason := <-ticket.Result; reason != "" {
+		return reason
+	}
+	g.gate.Unsent(o.work, time.Now())
+	return gate.RefusedLate
+}
+
+// send sends an admitted request to the target and waits for its answer.
+func (g *guard) send(ctx context.Context, o *order) result {
+	start := time.Now()
+	g.mu.Lock()
+	pool, state := g.pool, g.gate.State(start)
+	g.mu.Unlock()
+	left := o.work.Deadline.Sub(start)
+	if left < minSendLeft {
+		g.unsent(o)
+		return refused(string(gate.RefusedLate), 0)
+	}
+	message := o.message
+	message.Header = o.message.Header.Clone()
+	message.Header.Set(platform.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
+	message.Header.Set(platform.HeaderExpectedTarget, state.Instance)
+	message.Header.Set(platform.HeaderCaller, o.caller)
+	ctx, cancel := context.WithDeadline(ctx, o.work.Deadline.Add(answerGrace))
+	defer cancel()
+	maxIdle := time.Duration(0)
+	if o.work.Once {
+		maxIdle = onceIdle
+	}
+	answer, err := pool.Do(ctx, &message, maxIdle)
+	if err != nil {
+		return g.sendFailed(o, state, err)
+	}
+	return g.answered(o, state, answer, time.Since(start))
+}
+
+func (g *guard) unsent(o *order) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Unsent(o.work, time.Now())
+}
+
+func (g *guard) done(o *order, took time.Duration, failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Done(o.work.Kind, took, failed, time.Now())
+}
+
+// sendFailed ends an attempt without an answer. Only a request of which no
+// byte left is known not to have run.
+func (g *guard) sendFailed(o *order, state gate.State, err error) result {
+	failure := exchange.AsError(err)
+	if failure == nil || failure.Sent {
+		g.done(o, 0, true)
+		g.node.health.askNow()
+		kind := exchange.KindBroken
+		if failure != nil {
+			kind = failure.Kind
+		}
+		return result{outcome: request.Unknown, reason: string(kind), arrived: true, err: err}
+	}
+	g.unsent(o)
+	if failure.Kind == exchange.KindDial {
+		g.broke(state.Instance, err)
+	}
+	return result{outcome: request.NotRun, reason: string(failure.Kind), err: err}
+}
+
+// broke closes the gate to a target that takes no connections.
+func (g *guard) broke(instance string, err error) {
+	g.mu.Lock()
+	state := g.gate.State(time.Now())
+	changed := state.Open && state.Instance == instance
+	if changed {
+		g.gate.Broke(time.Now())
+	}
+	g.mu.Unlock()
+	if changed {
+		g.node.events.targetDown(instance, err)
+		g.node.peers.tellAll()
+	}
+	g.node.health.askNow()
+}
+
+// answered sorts a whole answer.
+func (g *guard) answered(o *order, state gate.State, answer *exchange.Answer, took time.Duration) result {
+	g.sampled(answer.Header.Get(platform.HeaderLoad))
+	notRun := answer.Header.Get(platform.HeaderNotRun) != "" || answer.Status == http.StatusMisdirectedRequest
+	if notRun {
+		g.unsent(o)
+		if answer.Status == http.StatusMisdirectedRequest {
+			g.broke(state.Instance, errors.New("another target has the address"))
+		}
+		return result{outcome: request.NotRun, reason: "target-refused", arrived: true, retryAfter: targetRefusedAfter}
+	}
+	good := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
+	g.done(o, took, !good)
+	if good && answer.Header.Get(platform.HeaderSignature) == "" {
+		return result{outcome: request.Unknown, reason: "unsigned-answer", arrived: true, err: errors.New("the answer has no signature")}
+	}
+	if answer.Header.Get("Content-Encoding") != "" {
+		return result{outcome: request.Unknown, reason: "encoded-answer", arrived: true, err: errors.New("the answer's body is encoded")}
+	}
+	return result{answer: answer, arrived: true}
+}
+
+// targetRefusedAfter is when a request may come back that a target refused by
+// itself: about the run of one request.
+const targetRefusedAfter = 200 * time.Millisecond
+
+// sampled takes in a load sample of the target and tells the peers of a step.
+func (g *guard) sampled(value string) {
+	if value == "" {
+		return
+	}
+	sample, err := platform.ParseLoad(value)
+	if err != nil {
+		g.node.events.badMessage("load_sample", g.node.settings().Target, err)
+		return
+	}
+	g.mu.Lock()
+	step := g.gate.Sampled(sample.Speed)
+	g.answeredAt = time.Now()
+	g.mu.Unlock()
+	if step {
+		g.node.peers.tellAll()
+	}
+}
+
+// reported takes in a status report of the target.
+func (g *guard) reported(report gate.Report) bool {
+	now := time.Now()
+	g.mu.Lock()
+	before := g.gate.State(now)
+	accepted := g.gate.Reported(report, now)
+	after := g.gate.State(now)
+	if accepted && (g.pool == nil || g.pool.Address() != report.Address || before.Instance != after.Instance) {
+		g.replacePool(report.Address)
+	}
+	g.mu.Unlock()
+	if !accepted {
+		g.node.events.reportIgnored(report, "older than what is known")
+		return false
+	}
+	g.configure(g.node.config.table())
+	changed := before.Instance != after.Instance || before.Open != after.Open
+	if changed {
+		g.node.events.targetChanged(report, before, after)
+		g.node.peers.tellAll()
+	}
+	return true
+}
+
+// replacePool starts anew with connections. The old ones end with their
+// requests. The caller holds the lock.
+func (g *guard) replacePool(address string) {
+	if g.pool != nil {
+		g.pool.Close()
+	}
+	limit := 0
+	if facts, ok := g.node.config.service(g.gate.State(time.Now()).Service); ok && facts.MaxConnections > 0 {
+		limit = max(1, facts.MaxConnections-spareConnections)
+	}
+	g.pool = exchange.NewPool(address, exchange.Options{
+		IDHeader:    platform.HeaderRequestID,
+		DialTimeout: targetDialTimeout,
+		IdleTimeout: targetIdle,
+		MaxOpen:     limit,
+		Opened:      func() { g.node.meters.targetConnections.Inc(1) },
+	})
+}
+
+// left takes in that a life of the target leaves for good.
+func (g *guard) left(instance string, born int64) {
+	now := time.Now()
+	g.mu.Lock()
+	g.gate.Left(instance, born, now)
+	g.mu.Unlock()
+	g.node.events.log(journal.Change, "target_left", "instance", instance, "born", born)
+	g.node.peers.tellAll()
+}
+
+// configure takes in what is in force: the service's figures, and whether the
+// data centre is out.
+func (g *guard) configure(table *routeState) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.gate.State(now)
+	if table.routes != nil {
+		if facts, ok := table.routes.Service(state.Service); ok {
+			g.gate.Configure(facts.ColdPerSecond, facts.ColdFor)
+		}
+	}
+	g.gate.SetOut(table.isOut(g.node.settings().DataCentre), now)
+}
+
+// tick lets time pass at the gate.
+func (g *guard) tick() {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	service := g.gate.State(now).Service
+	g.gate.SetPeers(1 + g.node.fleet.Targets(service, now))
+	g.gate.Tick(now)
+	if g.pool != nil {
+		g.pool.Sweep(now)
+	}
+}
+
+// fence makes sure that a request that did not come yet never runs.
+func (g *guard) fence(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Fence(id, time.Now())
+}
--- /dev/null
+++ b/gateway/meters.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"verbenatrestle/process/gate"
+)
+
+const (
+	// latencySamples and latencyAlpha shape the samples behind a latency
+	// histogram: recent ones weigh more.
+	latencySamples = 256
+	latencyAlpha   = 0.015
+)
+
+// meters holds the node's counters and histograms.
+type meters struct {
+	registry          metrics.Registry
+	latency           metrics.Timer
+	late              metrics.Counter
+	retries           metrics.Counter
+	noRoute           metrics.Counter
+	rejected          metrics.Counter
+	badMessages       metrics.Counter
+	datagramBytes     metrics.Counter
+	datagramsFailed   metrics.Counter
+	targetConnections metrics.Counter
+	healthChecks      metrics.Counter
+}
+
+func newMeters(registry metrics.Registry) *meters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, registry) }
+	histogram := metrics.NewHistogram(metrics.NewExpDecaySample(latencySamples, latencyAlpha))
+	m := &meters{
+		registry:          registry,
+		latency:           metrics.NewCustomTimer(histogram, metrics.NewMeter()),
+		late:              counter("requests.late"),
+		retries:           counter("requests.retries"),
+		noRoute:           counter("requests.no-route"),
+		rejected:          counter("requests.rejected"),
+		badMessages:       counter("messages.bad"),
+		datagramBytes:     counter("peers.datagram-bytes"),
+		datagramsFailed:   counter("peers.datagrams-failed"),
+		targetConnections: counter("target.connections-opened"),
+		healthChecks:      counter("target.health-checks"),
+	}
+	_ = registry.Register("requests.latency", m.latency) // the registry is new
+	return m
+}
+
+// ended counts the end of a caller's request.
+func (m *meters) ended(d *dispatch, r *result, took time.Duration, late bool) {
+	m.latency.Update(took)
+	if late {
+		m.late.Inc(1)
+	}
+	name := "requests.answered"
+	if r.answer == nil {
+		name = "requests." + string(r.outcome)
+	}
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// refused counts a refusal of the gate.
+func (m *meters) refused(reason gate.Refusal) {
+	metrics.GetOrRegisterCounter("gate.refused."+string(reason), m.registry).Inc(1)
+}
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/connection/wire"
+	"verbenatrestle/process/fleet"
+	"verbenatrestle/process/journal"
+)
+
+// Wire kinds of a fleet.Status and a fleet.Beat.
+const (
+	kindStatus wire.Kind = 60
+	kindBeat   wire.Kind = 61
+)
+
+const (
+	// beatEvery is the time between two beats to each peer, and statusEvery that
+	// between two whole statuses, unless one changes.
+	beatEvery   = 250 * time.Millisecond
+	statusEvery = time.Second
+	// silentAfter is how long a peer may say nothing before it is out of reach:
+	// three beats, since datagrams get lost.
+	silentAfter = 850 * time.Millisecond
+	// forgetAfter is how long a silent peer is remembered, and told of this node.
+	forgetAfter = 10 * time.Minute
+	// avoidFor is how long a peer is avoided after a hop to it failed.
+	avoidFor = 400 * time.Millisecond
+	// tellPause is the least time between two statuses out of turn.
+	tellPause = 4 * time.Millisecond
+	// maxDatagram bounds a datagram, in bytes.
+	maxDatagram = 1400
+)
+
+// peerTalk exchanges statuses with the other nodes.
+type peerTalk struct {
+	node        *Node
+	codec       *wire.Codec
+	conn        *net.UDPConn
+	incarnation uint64
+	urgent      chan struct{}
+	pulling     sync.Mutex
+	// told is the last whole status, sent at statusAt. Only send uses them.
+	told     fleet.Status
+	statusAt time.Time
+
+	mu       sync.Mutex
+	sequence uint64
+	targets  map[string]*net.UDPAddr
+}
+
+func newPeerTalk(n *Node, incarnation uint64) *peerTalk {
+	codec := wire.NewCodec()
+	codec.Register(kindStatus, &fleet.Status{})
+	codec.Register(kindBeat, &fleet.Beat{})
+	return &peerTalk{
+		node:        n,
+		codec:       codec,
+		incarnation: incarnation,
+		urgent:      make(chan struct{}, 1),
+		targets:     make(map[string]*net.UDPAddr),
+	}
+}
+
+func (p *peerTalk) listen(address string) error {
+	udp, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for peers on %s", address)
+	}
+	p.conn, err = net.ListenUDP("udp4", udp)
+	return errors.Wrapf(err, "listen for peers on %s", address)
+}
+
+// tellAll asks for a status out of turn to all peers.
+func (p *peerTalk) tellAll() {
+	select {
+	case p.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// send sends statuses until the context ends.
+func (p *peerTalk) send(ctx context.Context) {
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	var silence fleet.Silence
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.urgent:
+			p.broadcast()
+			time.Sleep(tellPause)
+		case <-ticker.C:
+			p.broadcast()
+			p.node.events.silences(silence.Changes(p.node.fleet, time.Now()))
+		}
+	}
+}
+
+// broadcast sends each peer a status, or a beat if nothing but load changed
+// since the last status. A peer that was not heard yet gets a status.
+func (p *peerTalk) broadcast() {
+	now := time.Now()
+	status := p.status(now)
+	whole := now.Sub(p.statusAt) >= statusEvery || !sameButLoad(&status, &p.told)
+	if whole {
+		p.statusAt, p.told = now, status
+	}
+	for _, peer := range p.node.fleet.Peers(now) {
+		status.EchoMillis = -1
+		if !peer.HeardAt.IsZero() {
+			status.EchoMillis = int(now.Sub(peer.HeardAt).Milliseconds())
+		}
+		if whole || peer.Status.Incarnation == 0 {
+			p.sendTo(peer.Contact, &status)
+			continue
+		}
+		p.sendTo(peer.Contact, &fleet.Beat{
+			Incarnation: status.Incarnation, Sequence: status.Sequence, Running: status.Running,
+			Waiting: status.Waiting, Speed: status.Speed, EchoMillis: status.EchoMillis,
+		})
+	}
+}
+
+// sameButLoad reports whether two statuses of this node differ in load only.
+func sameButLoad(a, b *fleet.Status) bool {
+	return a.Instance == b.Instance && a.Open == b.Open && a.Stopping == b.Stopping &&
+		a.Service == b.Service && a.Slots == b.Slots && a.ConfigNumber == b.ConfigNumber &&
+		slices.Equal(a.Out, b.Out) && (a.ColdLeftMillis > 0) == (b.ColdLeftMillis > 0)
+}
+
+func (p *peerTalk) sendTo(contact string, message any) {
+	data, err := p.codec.Encode(message)
+	if err != nil {
+		p.node.events.badMessage("status", contact, err)
+		return
+	}
+	address, err := p.address(contact)
+	if err != nil {
+		p.node.events.badMessage("peer_address", contact, err)
+		return
+	}
+	p.node.meters.datagramBytes.Inc(int64(len(data)))
+	if _, err := p.conn.WriteToUDP(data, address); err != nil {
+		p.node.meters.datagramsFailed.Inc(1) // a lost datagram is followed by the next
+	}
+}
+
+func (p *peerTalk) address(contact string) (*net.UDPAddr, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if address, ok := p.targets[contact]; ok {
+		return address, nil
+	}
+	address, err := net.ResolveUDPAddr("udp4", contact)
+	if err == nil {
+		p.targets[contact] = address
+	}
+	return address, err
+}
+
+// status returns what this node tells of itself.
+func (p *peerTalk) status(now time.Time) fleet.Status {
+	p.mu.Lock()
+	p.sequence++
+	sequence := p.sequence
+	p.mu.Unlock()
+	settings := p.node.settings()
+	state := p.node.guard.state(now)
+	table := p.node.config.table()
+	return fleet.Status{
+		Node: settings.Name, Incarnation: p.incarnation, Sequence: sequence,
+		DataCentre: settings.DataCentre, Hop: settings.Listen.Hop, Stopping: p.node.stopping.Load(),
+		Service: state.Service, Instance: state.Instance, Slots: state.Slots,
+		Running: state.Running, Waiting: state.Waiting, Speed: state.Speed, Open: state.Open,
+		ColdLeftMillis: int(state.ColdLeft.Milliseconds()),
+		ConfigNumber:   table.number(), OutRevision: table.outRevision, Out: table.out,
+	}
+}
+
+// receive takes in statuses until the socket is closed.
+func (p *peerTalk) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := p.conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // a datagram that can't be received is as good as lost
+		}
+		message, err := p.codec.Decode(buffer[:n])
+		if err != nil {
+			p.node.events.badMessage("datagram", from.String(), err)
+			continue
+		}
+		switch m := message.(type) {
+		case *fleet.Status:
+			if m.Node != p.node.settings().Name {
+				p.merge(ctx, m, from.String())
+			}
+		case *fleet.Beat:
+			p.node.fleet.MergeBeat(*m, time.Now())
+		}
+	}
+}
+
+// merge takes in a status, and what it tells of newer configurations.
+func (p *peerTalk) merge(ctx context.Context, status *fleet.Status, from string) {
+	news, fresh := p.node.fleet.Merge(*status, from, time.Now())
+	if !news {
+		return
+	}
+	if fresh {
+		p.node.events.log(journal.Change, "peer_started", "peer", status.Node, "incarnation", status.Incarnation, "instance", status.Instance)
+		p.tellAll()
+	}
+	table := p.node.config.table()
+	if status.OutRevision > table.outRevision && !slices.Equal(status.Out, table.out) {
+		p.node.config.offerOut(status.Out, status.OutRevision, status.Node)
+	}
+	if status.ConfigNumber > table.number() && p.pulling.TryLock() {
+		go func() {
+			defer p.pulling.Unlock()
+			p.pull(ctx, status.Node, status.Hop)
+		}()
+	}
+}
+
+// pull fetches the configuration that a peer has.
+func (p *peerTalk) pull(ctx context.Context, node, hop string) {
+	document, err := p.node.hops.config(ctx, hop)
+	if err == nil {
+		err = p.node.config.offer(document, node)
+	}
+	if err != nil {
+		p.node.events.badMessage("configuration", node, err)
+	}
+}
--- /dev/null
+++ b/gateway/stop.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"time"
+
+	"verbenatrestle/process/journal"
+)
+
+const (
+	// refusalsToLeave is how many times the platform has to hear that the node is
+	// not ready before it sends no more callers.
+	refusalsToLeave = 2
+	// quietToLeave is how long nothing may be pending before the node leaves.
+	quietToLeave = 300 * time.Millisecond
+	// stopReserve is kept of the time that a stop may take, for the exit itself.
+	stopReserve = 700 * time.Millisecond
+	// stopPoll is the period of looking whether the node may leave.
+	stopPoll = 20 * time.Millisecond
+)
+
+// stop ends the node's work as planned: the platform and the peers are told
+// first, callers are asked to leave with their answers, and the node leaves
+// when nothing is pending any more, at the latest when its time is up.
+func (n *Node) stop() {
+	began := time.Now()
+	n.stopping.Store(true)
+	n.ready.refused.Store(0)
+	n.callers.Drain()
+	n.peers.tellAll()
+	n.events.log(journal.Change, "stopping", "pending", n.callers.Pending()+n.hopsIn.Pending())
+	limit := began.Add(n.settings().Limits.stop() - stopReserve)
+	quietSince := began
+	for time.Now().Before(limit) {
+		if n.callers.Pending()+n.hopsIn.Pending() > 0 {
+			quietSince = time.Now()
+		}
+		if n.ready.refused.Load() >= refusalsToLeave && time.Since(quietSince) >= quietToLeave {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	n.callers.CloseIdle()
+	n.hopsIn.CloseIdle()
+	time.Sleep(stopPoll)
+}
--- /dev/null
+++ b/gateway/store.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"verbenatrestle/internal/wait"
+	"verbenatrestle/platform"
+	"verbenatrestle/process/journal"
+	store "verbenatrestle/process/platform"
+)
+
+const (
+	// storeTimeout bounds a call to the store, beyond the wait of a watch. The
+	// store answers in milliseconds when it is well.
+	storeTimeout = 1500 * time.Millisecond
+	// watchWait is how long one watch waits. A connection that fell silent is
+	// noticed after it; peers tell of changes meanwhile.
+	watchWait = 12 * time.Second
+	// relistEvery is the mean time between two lists of what is watched.
+	relistEvery = 5 * time.Minute
+	// storeBackoff and storeBackoffCap bound the delays after failed calls. A
+	// change has to be in force within two seconds of the store's return.
+	storeBackoff    = 150 * time.Millisecond
+	storeBackoffCap = 700 * time.Millisecond
+	// nodesEvery is the time between two looks at the list of nodes, from a copy
+	// that may be old. Nodes that start make themselves known by themselves.
+	nodesEvery = 20 * time.Second
+	// storeRate and storeBurst bound the calls of one node, in calls a second
+	// and calls at once: far more than it makes while all is well.
+	storeRate  = 10
+	storeBurst = 20
+)
+
+// nodeRecord is the object by which other nodes find this one.
+type nodeRecord struct {
+	// DataCentre is where the node runs.
+	DataCentre string `json:"data_centre"`
+	// Hop and Peers are the node's listeners for requests and datagrams.
+	Hop   string `json:"hop"`
+	Peers string `json:"peers"`
+}
+
+// storeSync keeps what is in force in step with the platform's store, and the
+// node's own record there.
+type storeSync struct {
+	node   *Node
+	client *store.Client
+	rng    *rand.Rand
+}
+
+func newStoreSync(n *Node) *storeSync {
+	return &storeSync{
+		node: n,
+		client: store.New(store.Config{
+			BaseURL:  "http://" + n.settings().Store,
+			Timeout:  storeTimeout,
+			Rate:     storeRate,
+			Burst:    storeBurst,
+			Dialect:  platform.Store{},
+			Registry: n.registry,
+		}),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// watcher returns a watcher of the objects with a prefix.
+func (s *storeSync) watcher(prefix string, handle func(store.Update)) *store.Watcher {
+	down := false
+	return &store.Watcher{
+		Client: s.client,
+		Prefix: prefix,
+		Handle: func(u store.Update) {
+			if down {
+				down = false
+				s.node.events.log(journal.Change, "dependency_back", "dependency", "store", "watch", prefix, "revision", u.Revision)
+			}
+			handle(u)
+		},
+		Failed: func(err error) {
+			if !down {
+				down = true
+				s.node.events.log(journal.Change, "dependency_lost", "dependency", "store", "watch", prefix, "err", err)
+			}
+		},
+		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Wait:        watchWait,
+		RelistEvery: relistEvery,
+		Spread:      time.Nanosecond,
+		Backoff:     store.Backoff{Base: storeBackoff, Cap: storeBackoffCap},
+	}
+}
+
+// run follows the store until the context ends.
+func (s *storeSync) run(ctx context.Context) {
+	go s.watcher(platform.PrefixConfig, s.learnConfig).Run(ctx)
+	go s.watcher(platform.PrefixOut, s.learnOut).Run(ctx)
+	s.followNodes(ctx)
+}
+
+func (s *storeSync) learnConfig(u store.Update) {
+	for _, object := range u.Objects {
+		if object.Key != platform.KeyConfig || object.Deleted {
+			continue
+		}
+		if err := s.node.config.offer(object.Value, "store"); err != nil {
+			s.node.events.badMessage("configuration", s.node.settings().Store, err)
+		}
+	}
+}
+
+// learnOut takes in which data centres are out. A watch tells changes only.
+func (s *storeSync) learnOut(u store.Update) {
+	var out []string
+	if !u.Whole {
+		out = slices.Clone(s.node.config.table().out)
+	}
+	for _, object := range u.Objects {
+		name := strings.TrimPrefix(object.Key, platform.PrefixOut)
+		out = slices.DeleteFunc(out, func(known string) bool { return known == name })
+		if !object.Deleted && slices.Contains(s.node.settings().DataCentres, name) {
+			out = append(out, name)
+		}
+	}
+	s.node.config.offerOut(out, u.Revision, "store")
+}
+
+// followNodes makes this node known in the store and learns of the others.
+func (s *storeSync) followNodes(ctx context.Context) {
+	backoff := store.Backoff{Base: storeBackoff, Cap: storeBackoffCap}
+	for ctx.Err() == nil {
+		err := s.meet(ctx)
+		if err == nil {
+			break
+		}
+		s.node.events.log(journal.Change, "meeting_failed", "dependency", "store", "err", err)
+		wait.For(ctx, backoff.Next(s.rng))
+	}
+	for wait.For(ctx, nodesEvery) {
+		objects, _, err := s.client.ListStale(ctx, platform.PrefixNodes)
+		if err != nil {
+			s.node.events.log(journal.Change, "node_list_failed", "dependency", "store", "err", err)
+			continue
+		}
+		s.introduce(objects)
+	}
+}
+
+// meet lists the nodes, and adds this one if it is missing. Two nodes that
+// add themselves at the same time find each other, since each lists again
+// after its write.
+func (s *storeSync) meet(ctx context.Context) error {
+	objects, _, err := s.client.List(ctx, platform.PrefixNodes)
+	if err != nil {
+		return err
+	}
+	s.introduce(objects)
+	record, err := json.Marshal(s.ownRecord())
+	if err != nil {
+		return errors.Wrap(err, "encode node record")
+	}
+	known, version := findRecord(objects, platform.PrefixNodes+s.node.settings().Name)
+	if known == s.ownRecord() {
+		return nil
+	}
+	if err := s.write(ctx, record, version); err != nil {
+		return err
+	}
+	objects, _, err = s.client.List(ctx, platform.PrefixNodes)
+	if err != nil {
+		return err
+	}
+	s.introduce(objects)
+	return nil
+}
+
+func (s *storeSync) ownRecord() nodeRecord {
+	settings := s.node.settings()
+	return nodeRecord{DataCentre: settings.DataCentre, Hop: settings.Listen.Hop, Peers: settings.Listen.Peers}
+}
+
+// findRecord returns the record under a key and its version. Both are zero if
+// there is none.
+func findRecord(objects []store.Object, key string) (nodeRecord, uint64) {
+	for _, object := range objects {
+		if object.Key == key {
+			record, _ := decodeRecord(object.Value) // a spoilt record is replaced as a different one is
+			return record, object.Version
+		}
+	}
+	return nodeRecord{}, 0
+}
+
+func decodeRecord(value []byte) (nodeRecord, error) {
+	var record nodeRecord
+	if err := json.Unmarshal(value, &record); err != nil {
+		return nodeRecord{}, errors.Wrap(err, "decode node record")
+	}
+	for _, address := range []string{record.Hop, record.Peers} {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nodeRecord{}, errors.Wrap(err, "decode node record")
+		}
+	}
+	return record, nil
+}
+
+func (s *storeSync) write(ctx context.Context, record []byte, version uint64) error {
+	key := platform.PrefixNodes + s.node.settings().Name
+	_, err := s.client.Put(ctx, key, record, version)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		_, err = s.client.Put(ctx, key, record, conflict.Version)
+	}
+	return err
+}
+
+// introduce makes the nodes of a list known.
+func (s *storeSync) introduce(objects []store.Object) {
+	now := time.Now()
+	for _, object := range objects {
+		name := strings.TrimPrefix(object.Key, platform.PrefixNodes)
+		if name == s.node.settings().Name || object.Deleted {
+			continue
+		}
+		record, err := decodeRecord(object.Value)
+		if err != nil {
+			s.node.events.badMessage("node_record", object.Key, err)
+			continue
+		}
+		s.node.fleet.Introduce(name, record.DataCentre, record.Hop, record.Peers, now)
+	}
+	s.node.peers.tellAll()
+}
--- /dev/null
+++ b/process/fleet/silence.go
@@ -0,0 +1,42 @@
+package fleet
+
+import "time"
+
+// Silence follows which nodes are heard, to tell each loss and return once.
+type Silence struct {
+	heard map[string]bool
+}
+
+// Change is the loss or the return of a node.
+type Change struct {
+	// Node names the node.
+	Node string
+	// Back tells a return from a loss.
+	Back bool
+	// Silent is how long the node was or is silent.
+	Silent time.Duration
+}
+
+// Changes returns the losses and returns since the last call.
+func (s *Silence) Changes(t *Table, now time.Time) []Change {
+	if s.heard == nil {
+		s.heard = make(map[string]bool)
+	}
+	var changes []Change
+	known := make(map[string]bool)
+	for _, p := range t.Peers(now) {
+		name := p.Status.Node
+		known[name] = true
+		heard := t.Reachable(name, now)
+		if heard != s.heard[name] {
+			changes = append(changes, Change{Node: name, Back: heard, Silent: now.Sub(p.HeardAt)})
+			s.heard[name] = heard
+		}
+	}
+	for name := range s.heard {
+		if !known[name] {
+			delete(s.heard, name)
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/process/fleet/status.go
@@ -0,0 +1,62 @@
+package fleet
+
+import "time"
+
+// Status is what a node tells the others of itself. It travels as a CBOR array,
+// so fields are only ever added at the end.
+type Status struct {
+	// Node names the node.
+	Node string
+	// Incarnation names the life of the node's process.
+	Incarnation uint64
+	// Sequence grows with each status of one life.
+	Sequence uint64
+	// DataCentre is where the node runs.
+	DataCentre string
+	// Hop is where the node takes requests for its target, "IP:port".
+	Hop string
+	// Stopping tells that the node shuts down soon.
+	Stopping bool
+	// Service and Instance name the target. Empty means that there is none.
+	Service  string
+	Instance string
+	// Slots is how many requests may run at the target at once.
+	Slots int
+	// Running and Waiting count requests at the target and in its queue.
+	Running int
+	Waiting int
+	// Speed is how long work takes at the target now, in percent of usual.
+	Speed int
+	// Open tells that the target takes requests.
+	Open bool
+	// ColdLeftMillis is how much longer the target is cold.
+	ColdLeftMillis int
+	// ConfigNumber is the number of the configuration in force, or zero.
+	ConfigNumber uint64
+	// OutRevision is the platform's revision as of which Out holds.
+	OutRevision uint64
+	// Out names the data centres that are out of service.
+	Out []string
+	// EchoMillis is how long ago the node heard from the receiver. Negative means
+	// not yet.
+	EchoMillis int
+}
+
+// ColdLeft returns how much longer the target is cold.
+func (s *Status) ColdLeft() time.Duration {
+	return time.Duration(s.ColdLeftMillis) * time.Millisecond
+}
+
+// Beat is what a node tells between two statuses: that it lives, and its load.
+type Beat struct {
+	// Incarnation names the life of the node's process, and so the node.
+	Incarnation uint64
+	// Sequence is counted on with that of the statuses.
+	Sequence uint64
+	// Running, Waiting and Speed are as in Status.
+	Running int
+	Waiting int
+	Speed   int
+	// EchoMillis is as in Status.
+	EchoMillis int
+}
--- /dev/null
+++ b/process/fleet/table.go
@@ -0,0 +1,293 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Settings of a Table.
+type Settings struct {
+	// SilentAfter is how long a node may say nothing before it is out of reach.
+	SilentAfter time.Duration
+	// ForgetAfter is how long a silent node is remembered.
+	ForgetAfter time.Duration
+	// AvoidFor is how long a node is avoided after a hop to it failed.
+	AvoidFor time.Duration
+}
+
+// Peer is another node as this one sees it.
+type Peer struct {
+	// Status is the latest that the node told. Only its Node, DataCentre and Hop
+	// are set if nothing was heard yet.
+	Status Status
+	// Contact is where the node takes datagrams, "IP:port".
+	Contact string
+	// HeardAt is when the latest datagram came. Zero means never.
+	HeardAt time.Time
+	// LoadAt is when the load in Status was true.
+	LoadAt time.Time
+	// echoAt is when the node last heard from this one, as it told.
+	echoAt time.Time
+	// avoidUntil is set by a failed hop.
+	avoidUntil time.Time
+	// former holds incarnations that ended.
+	former []uint64
+	// inFlight counts this node's own requests there.
+	inFlight int
+}
+
+// Table holds the peers of a node. It is safe for concurrent use.
+type Table struct {
+	settings Settings
+	mu       sync.Mutex
+	peers    map[string]*Peer
+	// lives names the node of each incarnation in force.
+	lives map[uint64]string
+}
+
+// NewTable returns an empty table.
+func NewTable(settings Settings) *Table {
+	return &Table{settings: settings, peers: make(map[string]*Peer), lives: make(map[uint64]string)}
+}
+
+// maxFormer bounds the ended lives of a node that are remembered. A datagram
+// is late by seconds at most, which is less than that many restarts take.
+const maxFormer = 4
+
+// Introduce makes a node known before it was heard. A node that is known at
+// another address keeps that one while it is heard there.
+func (t *Table) Introduce(name, dataCentre, hop, contact string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[name]
+	if p == nil {
+		t.peers[name] = &Peer{
+			Status:  Status{Node: name, DataCentre: dataCentre, Hop: hop},
+			Contact: contact,
+			LoadAt:  now,
+		}
+		return
+	}
+	if p.Contact != contact && !t.heard(p, now) {
+		p.Contact = contact
+		p.Status.Hop = hop
+		p.Status.DataCentre = dataCentre
+	}
+}
+
+// Merge takes in a status that came from contact. It reports whether it was
+// news, and whether it tells of a life of the node that was not known.
+func (t *Table) Merge(s Status, contact string, now time.Time) (news, fresh bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[s.Node]
+	if p == nil {
+		p = &Peer{}
+		t.peers[s.Node] = p
+	}
+	if slices.Contains(p.former, s.Incarnation) {
+		return false, false
+	}
+	fresh = p.Status.Incarnation != s.Incarnation
+	if !fresh && s.Sequence <= p.Status.Sequence {
+		return false, false
+	}
+	if fresh && p.Status.Incarnation != 0 {
+		delete(t.lives, p.Status.Incarnation)
+		p.former = append(p.former, p.Status.Incarnation)
+		p.former = p.former[max(0, len(p.former)-maxFormer):]
+		p.avoidUntil = time.Time{}
+	}
+	p.Status = s
+	p.Contact = contact
+	p.HeardAt = now
+	p.LoadAt = now
+	p.echo(s.EchoMillis, now)
+	t.lives[s.Incarnation] = s.Node
+	return true, fresh
+}
+
+// MergeBeat takes in a beat. One of a life that no status told of is dropped.
+func (t *Table) MergeBeat(b Beat, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name, ok := t.lives[b.Incarnation]
+	if !ok {
+		return
+	}
+	p := t.peers[name]
+	if p == nil || p.Status.Incarnation != b.Incarnation || b.Sequence <= p.Status.Sequence {
+		return
+	}
+	p.Status.Sequence = b.Sequence
+	p.Status.Running, p.Status.Waiting, p.Status.Speed = b.Running, b.Waiting, b.Speed
+	p.HeardAt, p.LoadAt = now, now
+	p.echo(b.EchoMillis, now)
+}
+
+// echo takes in how long ago the peer heard from this node.
+func (p *Peer) echo(millis int, now time.Time) {
+	p.echoAt = time.Time{}
+	if millis >= 0 {
+		p.echoAt = now.Add(-time.Duration(millis) * time.Millisecond)
+	}
+}
+
+// Load is the part of a status that an answer or refusal of a node carries.
+type Load struct {
+	// Running and Waiting count requests at the target and in its queue.
+	Running int
+	Waiting int
+	// Speed is how long work takes at the target now, in percent of usual.
+	Speed int
+	// Open tells that the target takes requests.
+	Open bool
+}
+
+// Observe takes in the load that an answer of the node carried.
+func (t *Table) Observe(name string, load Load, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[name]
+	if p == nil {
+		return
+	}
+	p.Status.Running, p.Status.Waiting = load.Running, load.Waiting
+	p.Status.Speed, p.Status.Open = load.Speed, load.Open
+	p.LoadAt = now
+	p.HeardAt = now
+	p.echoAt = now
+}
+
+// Failed takes in that a hop to the node failed.
+func (t *Table) Failed(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[name]; p != nil {
+		p.avoidUntil = now.Add(t.settings.AvoidFor)
+	}
+}
+
+// Begin counts a request of this node at the target beside another.
+func (t *Table) Begin(name string) { t.count(name, 1) }
+
+// End ends what Begin counted.
+func (t *Table) End(name string) { t.count(name, -1) }
+
+func (t *Table) count(name string, change int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[name]; p != nil {
+		p.inFlight = max(0, p.inFlight+change)
+	}
+}
+
+// heard reports whether the node was heard of late.
+func (t *Table) heard(p *Peer, now time.Time) bool {
+	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < t.settings.SilentAfter
+}
+
+// reachable reports whether datagrams pass both ways and hops did not fail.
+func (t *Table) reachable(p *Peer, now time.Time) bool {
+	return t.heard(p, now) && now.Sub(p.echoAt) < t.settings.SilentAfter && !now.Before(p.avoidUntil)
+}
+
+// Candidate is a target that requests may be sent to.
+type Candidate struct {
+	// Node names the node beside the target.
+	Node string
+	// Hop is where that node takes requests.
+	Hop string
+	// Incarnation names the life of the node's process.
+	Incarnation uint64
+	// Instance names the target.
+	Instance string
+	// DataCentre is where the target runs.
+	DataCentre string
+	// Slots, Running, Waiting and Speed are the latest known load.
+	Slots   int
+	Running int
+	Waiting int
+	Speed   int
+	// InFlight counts this node's own requests there.
+	InFlight int
+	// ColdLeft is how much longer the target is cold.
+	ColdLeft time.Duration
+	// LoadAge is how old the load is.
+	LoadAge time.Duration
+}
+
+// Candidates returns the open targets of a service that can be reached.
+func (t *Table) Candidates(service string, now time.Time) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Candidate
+	for _, p := range t.peers {
+		s := &p.Status
+		if s.Service != service || !s.Open || s.Stopping || !t.reachable(p, now) {
+			continue
+		}
+		age := now.Sub(p.LoadAt)
+		found = append(found, Candidate{
+			Node: s.Node, Hop: s.Hop, Incarnation: s.Incarnation, Instance: s.Instance,
+			DataCentre: s.DataCentre, Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
+			Speed: s.Speed, InFlight: p.inFlight, ColdLeft: s.ColdLeft() - age, LoadAge: age,
+		})
+	}
+	slices.SortFunc(found, func(a, b Candidate) int { return strings.Compare(a.Node, b.Node) })
+	return found
+}
+
+// Targets returns the number of nodes with a target of the service that were
+// heard of late.
+func (t *Table) Targets(service string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, p := range t.peers {
+		if p.Status.Service == service && t.heard(p, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// Peers returns copies of all peers, by name. Those silent for too long are
+// forgotten, unless they were never heard.
+func (t *Table) Peers(now time.Time) []Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []Peer
+	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
+		p := t.peers[name]
+		if now.Sub(p.LoadAt) > t.settings.ForgetAfter {
+			delete(t.lives, p.Status.Incarnation)
+			delete(t.peers, name)
+			continue
+		}
+		all = append(all, *p)
+	}
+	return all
+}
+
+// Peer returns a copy of the node's entry.
+func (t *Table) Peer(name string) (Peer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[name]
+	if p == nil {
+		return Peer{}, false
+	}
+	return *p, true
+}
+
+// Reachable reports whether the node can be reached, as far as is known.
+func (t *Table) Reachable(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[name]
+	return p != nil && t.reachable(p, now)
+}
--- /dev/null
+++ b/process/gate/budget.go
@@ -0,0 +1,26 @@
+package gate
+
+import "time"
+
+// RepeatBudget bounds the requests that are sent to targets of a service
+// beyond the first time, as a share of those sent for the first time. Each gate
+// keeps its part of the service's allowance by itself.
+type RepeatBudget struct {
+	// Ratio is how many repeats a first send allows.
+	Ratio float64
+	// Slack is how many repeats the whole service may have beside those.
+	Slack float64
+	// Window is the span in which both are counted.
+	Window time.Duration
+}
+
+// safety is the part of the budget that is used. Events near the edge of a
+// window may be counted on its other side.
+const safety = 0.8
+
+// allows reports whether one more repeat keeps the budget of a service with
+// that many targets.
+func (b RepeatBudget) allows(firsts, repeats, targets int) bool {
+	allowance := safety * (b.Ratio*float64(firsts) + b.Slack/float64(max(targets, 1)))
+	return float64(repeats+1) <= allowance
+}
--- /dev/null
+++ b/process/gate/report.go
@@ -0,0 +1,40 @@
+package gate
+
+import "time"
+
+// Report is what a target says of itself.
+type Report struct {
+	// Instance names one life of the target process.
+	Instance string
+	// Service names the service that the target belongs to.
+	Service string
+	// Address is where the target takes requests, "IP:port".
+	Address string
+	// DataCentre is where the target runs.
+	DataCentre string
+	// Release is the version of the target's software.
+	Release string
+	// Slots is how many requests the target runs at once.
+	Slots int
+	// Leaving tells that the target shuts down soon.
+	Leaving bool
+	// ColdFor is how much longer the target is cold.
+	ColdFor time.Duration
+	// Sequence grows with each report of one life.
+	Sequence int64
+	// Born is when the life began, in Unix milliseconds. Zero means that it is
+	// not told.
+	Born int64
+}
+
+// newer reports whether r supersedes the older report: a later life does, and
+// within a life a later report.
+func (r *Report) newer(old *Report) bool {
+	if r.Born != old.Born {
+		return r.Born > old.Born
+	}
+	if r.Instance != old.Instance {
+		return true
+	}
+	return r.Sequence > old.Sequence
+}
--- /dev/null
+++ b/process/gate/target.go
@@ -0,0 +1,162 @@
+package gate
+
+import "time"
+
+// State is what a gate knows of its target, for those who choose targets.
+type State struct {
+	// Service and Instance name the target. Empty means that there is none.
+	Service  string
+	Instance string
+	// Address is where the target takes requests.
+	Address string
+	// Slots is how many requests may run at once.
+	Slots int
+	// Running and Waiting count requests at the target and in the queue.
+	Running int
+	Waiting int
+	// Speed is how long work takes now, in percent of usual.
+	Speed int
+	// Open tells that the gate takes requests at all.
+	Open bool
+	// ColdLeft is how much longer the target is cold.
+	ColdLeft time.Duration
+}
+
+// State returns the present state.
+func (g *Gate) State(now time.Time) State {
+	if g.target == nil {
+		return State{Speed: usualSpeed}
+	}
+	return State{
+		Service:  g.target.Service,
+		Instance: g.target.Instance,
+		Address:  g.target.Address,
+		Slots:    g.Limit(),
+		Running:  g.running,
+		Waiting:  len(g.queue),
+		Speed:    g.speed,
+		Open:     !g.Leaving() && !g.down && !g.out,
+		ColdLeft: max(0, g.coldUntil.Sub(now)),
+	}
+}
+
+// Reported takes in a report of the target. It returns false if the report is
+// older than what is known.
+func (g *Gate) Reported(report Report, now time.Time) bool {
+	if g.target != nil && !report.newer(g.target) {
+		return false
+	}
+	if born, ok := g.departed[report.Instance]; ok && report.Born <= born {
+		return false
+	}
+	fresh := g.target == nil || g.target.Instance != report.Instance || g.target.Born != report.Born
+	if g.target != nil && !fresh && g.target.Leaving {
+		report.Leaving = true
+	}
+	g.target = &report
+	if fresh {
+		g.down = false
+		g.coldUntil = time.Time{}
+		g.speed = usualSpeed
+	}
+	if report.ColdFor > 0 {
+		g.coldUntil = now.Add(report.ColdFor)
+	}
+	g.advance(now)
+	return true
+}
+
+// Left takes in that a life of the target leaves for good. Born is that life's
+// start in Unix milliseconds; who does not know it gives the present time.
+func (g *Gate) Left(instance string, born int64, now time.Time) {
+	if len(g.departed) >= maxDeparted {
+		clear(g.departed)
+	}
+	g.departed[instance] = born
+	g.advance(now)
+}
+
+// maxDeparted bounds the lives that are remembered to have left. Many more
+// than run beside one node before a late report of theirs has arrived.
+const maxDeparted = 64
+
+// Sampled takes in a load sample of the target: how many requests it runs and
+// how long work takes. It reports whether the speed changed by a step worth
+// telling.
+func (g *Gate) Sampled(speed int) bool {
+	if speed <= 0 {
+		return false
+	}
+	old := g.speed
+	g.speed = speed
+	return speed*speedStep > old*(speedStep+1) || old*speedStep > speed*(speedStep+1)
+}
+
+// speedStep sets the change of speed that is worth telling: by more than one
+// part in that many.
+const speedStep = 4
+
+// Checked takes in the answer to a health check of that instance: how long the
+// target stays cold. It reports whether the target's state changed.
+func (g *Gate) Checked(instance string, coldLeft time.Duration, now time.Time) bool {
+	if g.target == nil || instance != g.target.Instance {
+		return false
+	}
+	changed := g.down
+	g.down = false
+	if cold := coldLeft > 0; cold != g.cold(now) {
+		changed = true
+	}
+	g.coldUntil = now.Add(coldLeft)
+	g.advance(now)
+	return changed
+}
+
+// Broke takes in that the target takes no connections, or closed one that a
+// request was on. It is closed until a check or a report tells otherwise, and
+// taken to be cold then.
+func (g *Gate) Broke(now time.Time) {
+	if g.down {
+		return
+	}
+	g.down = true
+	g.assumeCold(now)
+	g.advance(now)
+}
+
+// assumeCold treats the target as cold until a check tells otherwise.
+func (g *Gate) assumeCold(now time.Time) {
+	if g.coldRate > 0 {
+		g.coldUntil = now.Add(g.coldFor)
+	}
+}
+
+// Configure sets what the configuration says of the target's service: how many
+// requests a second it bears when it is cold, and for how long it is cold.
+func (g *Gate) Configure(coldRate float64, coldFor time.Duration) {
+	g.coldRate = coldRate
+	g.coldFor = coldFor
+}
+
+// SetOut tells whether the target's data centre is out of service. A target
+// that comes back is taken to be cold until a check tells otherwise.
+func (g *Gate) SetOut(out bool, now time.Time) {
+	if g.out && !out {
+		g.assumeCold(now)
+	}
+	g.out = out
+	g.advance(now)
+}
+
+// SetPeers sets the number of targets of the service, which share its budget
+// of repeats.
+func (g *Gate) SetPeers(targets int) { g.peers = max(1, targets) }
+
+// Leaving reports whether the target has begun to leave.
+func (g *Gate) Leaving() bool {
+	if g.target == nil {
+		return false
+	}
+	born, departed := g.departed[g.target.Instance]
+	return g.target.Leaving || (departed && g.target.Born <= born)
+}
--- /dev/null
+++ b/process/gate/work.go
@@ -0,0 +1,55 @@
+package gate
+
+import "time"
+
+// Work is one request that asks to pass.
+type Work struct {
+	// ID is the request's id.
+	ID string
+	// Kind names requests that take about as long as each other.
+	Kind string
+	// Caller is the service beside which the request began.
+	Caller string
+	// Rank orders requests by urgency: 0 is the most urgent.
+	Rank int
+	// Due is when an answer stops being of full use.
+	Due time.Time
+	// Deadline is when nobody waits for an answer any more.
+	Deadline time.Time
+	// Repeat tells that the request was sent to a target before, or belongs to
+	// one that was.
+	Repeat bool
+	// Once tells that the request must not run twice.
+	Once bool
+
+	// nested tells that a request which is already running waits for this one.
+	nested bool
+}
+
+// Refusal says why a request may not pass.
+type Refusal string
+
+const (
+	// RefusedNoTarget means that no target is known to run here.
+	RefusedNoTarget Refusal = "no-target"
+	// RefusedLeaving means that the target is leaving.
+	RefusedLeaving Refusal = "target-leaving"
+	// RefusedDown means that the target does not take connections.
+	RefusedDown Refusal = "target-down"
+	// RefusedOut means that the target's data centre is out of service.
+	RefusedOut Refusal = "data-centre-out"
+	// RefusedService means that another service's target runs here.
+	RefusedService Refusal = "other-service"
+	// RefusedFull means that the request would wait for too long.
+	RefusedFull Refusal = "full"
+	// RefusedCold means that the cold target bears no more at the moment.
+	RefusedCold Refusal = "cold"
+	// RefusedBudget means that the budget of repeats is spent.
+	RefusedBudget Refusal = "repeat-budget"
+	// RefusedLate means that the time left is too short.
+	RefusedLate Refusal = "too-late"
+	// RefusedFenced means that the sender asked that the request never run.
+	RefusedFenced Refusal = "fenced"
+	// RefusedTwice means that a request that must not run twice was here before.
+	RefusedTwice Refusal = "seen-before"
+)
--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +46,8 @@
 	Rate float64
 	// Burst is the number of calls at once. Zero means DefaultBurst.
 	Burst int
+	// Dialect puts calls into HTTP. Nil means the product's own.
+	Dialect Dialect
 	// Registry receives the counters platform.calls.* and platform.errors.*.
 	// Nil means that nobody reads them.
 	Registry metrics.Registry
@@ -58,6 +57,7 @@
 type Client struct {
 	base    string
 	timeout time.Duration
+	dialect Dialect
 	http    *http.Client
 	limiter *rate.Limiter
 	counts  counts
@@ -74,12 +74,16 @@
 	if config.Burst <= 0 {
 		config.Burst = DefaultBurst
 	}
+	if config.Dialect == nil {
+		config.Dialect = native{}
+	}
 	if config.Registry == nil {
 		config.Registry = metrics.NewRegistry()
 	}
 	return &Client{
 		base:    config.BaseURL,
 		timeout: config.Timeout,
+		dialect: config.Dialect,
 		http:    &http.Client{Transport: newTransport()},
 		limiter: rate.NewLimiter(rate.Limit(config.Rate), config.Burst),
 		counts:  newCounts(config.Registry),
@@ -93,103 +97,76 @@
 
 // Get reads one object. The error is ErrNotFound, or an ErrUnavailable.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	result, err := c.call(ctx, call{kind: kindGet, method: http.MethodGet, path: objectPath(key)})
+	reply, err := c.call(ctx, Call{Op: OpGet, Key: key})
 	if err != nil {
 		return Object{}, c.wrap(err, "get object %s", key)
 	}
-	if result.versionErr != nil {
-		err := &callError{kind: ErrUnavailable, cause: result.versionErr}
-		return Object{}, c.wrap(err, "get object %s", key)
-	}
-	return Object{Key: key, Version: result.version, Value: result.body}, nil
+	return reply.Objects[0], nil
 }
 
 // List reads all objects whose keys start with prefix, and the revision of
 // the store that the list shows. The error is an ErrUnavailable.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, uint64, error) {
-	query := url.Values{"prefix": {prefix}}
-	result, err := c.call(ctx, call{kind: kindList, method: http.MethodGet, path: "/v1/objects", query: query})
-	if err != nil {
-		return nil, 0, c.wrap(err, "list objects %s", prefix)
+	return c.list(ctx, Call{Op: OpList, Prefix: prefix})
+}
+
+// ListStale is List from a copy that may be seconds old, where the platform
+// offers one at a lower price.
+func (c *Client) ListStale(ctx context.Context, prefix string) ([]Object, uint64, error) {
+	return c.list(ctx, Call{Op: OpList, Prefix: prefix, Stale: true})
+}
+
+// list reads all pages of a list. The revision is that of the first page, so
+// that a watch from there misses nothing.
+func (c *Client) list(ctx context.Context, request Call) ([]Object, uint64, error) {
+	var objects []Object
+	var revision uint64
+	for {
+		reply, err := c.call(ctx, request)
+		if err != nil {
+			return nil, 0, c.wrap(err, "list objects %s", request.Prefix)
+		}
+		objects = append(objects, reply.Objects...)
+		if request.From == "" {
+			revision = reply.Revision
+		}
+		if reply.Next == "" {
+			return objects, revision, nil
+		}
+		request.From = reply.Next
 	}
-	objects, revision, err := decodeObjects(result.body)
-	return objects, revision, c.wrap(err, "list objects %s", prefix)
 }
 
 // Put writes an object if its version is ifVersion, where zero means that
 // there must be no object yet. It returns the new version. The error is a
 // *ConflictError, an ErrUnavailable or an ErrUnknownAnswer.
 func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	request := Call{Op: OpPut, Key: key, Value: value, IfVersion: ifVersion}
 	if len(value) > MaxValueBytes {
-		err := &callError{kind: ErrUnavailable, cause: errors.Errorf("value of %d bytes is too large", len(value))}
-		return 0, c.wrap(err, "put object %s", key)
-	}
-	request := call{
-		kind:      kindPut,
-		method:    http.MethodPut,
-		path:      objectPath(key),
-		body:      value,
-		ifVersion: &ifVersion,
-		writes:    true,
-	}
-	result, err := c.call(ctx, request)
-	if err != nil {
+		err := Failure(request, false, errors.Errorf("value of %d bytes is too large", len(value)))
 		return 0, c.wrap(err, "put object %s", key)
 	}
-	if result.versionErr != nil {
-		err := &callError{kind: ErrUnknownAnswer, cause: result.versionErr}
-		return 0, c.wrap(err, "put object %s", key)
-	}
-	return result.version, nil
+	reply, err := c.call(ctx, request)
+	return reply.Version, c.wrap(err, "put object %s", key)
 }
 
 // Delete removes an object if its version is ifVersion. The error is
 // ErrNotFound, a *ConflictError, an ErrUnavailable or an ErrUnknownAnswer.
 func (c *Client) Delete(ctx context.Context, key string, ifVersion uint64) error {
-	request := call{
-		kind:      kindDelete,
-		method:    http.MethodDelete,
-		path:      objectPath(key),
-		ifVersion: &ifVersion,
-		writes:    true,
-	}
-	_, err := c.call(ctx, request)
+	_, err := c.call(ctx, Call{Op: OpDelete, Key: key, IfVersion: ifVersion})
 	return c.wrap(err, "delete object %s", key)
 }
 
 // Watch waits up to wait for objects with the prefix that changed after the
 // revision after. It returns their present state and the revision to go on
-// from; no objects mean that nothing changed. The error is an ErrUnavailable.
+// from; no objects mean that nothing changed. The error is an ErrUnavailable,
+// or ErrCompacted if the platform no longer has the changes since then.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Object, uint64, error) {
-	query := url.Values{
-		"prefix":  {prefix},
-		"after":   {strconv.FormatUint(after, 10)},
-		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
-	}
-	request := call{kind: kindWatch, method: http.MethodGet, path: "/v1/watch", query: query, wait: wait}
-	result, err := c.call(ctx, request)
-	if err != nil {
-		return nil, 0, c.wrap(err, "watch objects %s", prefix)
-	}
-	objects, revision, err := decodeObjects(result.body)
-	return objects, revision, c.wrap(err, "watch objects %s", prefix)
+	reply, err := c.call(ctx, Call{Op: OpWatch, Prefix: prefix, After: after, Wait: wait})
+	return reply.Objects, reply.Revision, c.wrap(err, "watch objects %s", prefix)
 }
 
 // wrap adds the step and the peer to an error. It returns nil for nil.
 func (c *Client) wrap(err error, step string, key string) error {
 	return errors.Wrapf(err, step+" at platform %s", key, c.base)
 }
-
-// objectList is the answer to a list or a watch.
-type objectList struct {
-	Revision uint64   `json:"revision"`
-	Objects  []Object `json:"objects"`
-}
-
-func decodeObjects(body []byte) ([]Object, uint64, error) {
-	var list objectList
-	if err := json.Unmarshal(body, &list); err != nil {
-		return nil, 0, &callError{kind: ErrUnavailable, cause: errors.Wrap(err, "decode objects")}
-	}
-	return list.Objects, list.Revision, nil
-}
--- a/process/platform/counts.go
+++ b/process/platform/counts.go
@@ -5,23 +5,11 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// kind is a kind of call.
-type kind int
-
-const (
-	kindGet kind = iota
-	kindList
-	kindPut
-	kindDelete
-	kindWatch
-	kindCount
-)
-
-var kindNames = [kindCount]string{"get", "list", "put", "delete", "watch"}
+var opNames = [opCount]string{"get", "list", "put", "delete", "watch"}
 
 // counts holds the counters of a client.
 type counts struct {
-	calls       [kindCount]metrics.Counter
+	calls       [opCount]metrics.Counter
 	notFound    metrics.Counter
 	conflict    metrics.Counter
 	rateLimited metrics.Counter
@@ -40,14 +28,14 @@
 		unknown:     counter("errors.unknown"),
 		unavailable: counter("errors.unavailable"),
 	}
-	for i, name := range kindNames {
+	for i, name := range opNames {
 		c.calls[i] = counter("calls." + name)
 	}
 	return c
 }
 
-func (c *counts) called(k kind) {
-	c.calls[k].Inc(1)
+func (c *counts) called(o Op) {
+	c.calls[o].Inc(1)
 }
 
 func (c *counts) failed(err error) {
--- a/process/platform/errors.go
+++ b/process/platform/errors.go
@@ -10,6 +10,9 @@
 var (
 	// ErrNotFound means that the platform holds no object under the key.
 	ErrNotFound = errors.New("object not found")
+	// ErrCompacted means that the platform no longer has the changes since the
+	// revision that a watch asked for.
+	ErrCompacted = errors.New("changes are no longer kept")
 	// ErrUnavailable means that the call surely had no effect.
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrUnknownAnswer means that the call may have had its effect.
--- /dev/null
+++ b/version/routetable.go
@@ -0,0 +1,123 @@
+package version
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// RouteTable is one version of a configuration whose routes lie directly under
+// hosts, apart from templates and organisations. It never changes once built.
+type RouteTable struct {
+	number   uint64
+	byHost   map[string][]Rule
+	services map[string]ServiceFacts
+	limits   CallerLimits
+}
+
+// Rule is one route of a RouteTable.
+type Rule struct {
+	// Name names the route.
+	Name string
+	// Host is the host name, in lower case and without a port.
+	Host string
+	// PathPrefix starts and ends with a slash.
+	PathPrefix string
+	// Parts are the services that share the route's requests. At least one.
+	Parts []RulePart
+	// Idempotent tells that running a request twice does no harm.
+	Idempotent bool
+	// Timeout is the longest time that a caller is kept waiting. Zero means no
+	// bound of the route's own.
+	Timeout time.Duration
+	// Objective is the latency within which an answer is of full use. Zero means
+	// that none is stated.
+	Objective time.Duration
+	// MaxAttempts bounds the targets that one request may be sent to.
+	MaxAttempts int
+	// Rank orders routes by urgency: 0 is the most urgent.
+	Rank int
+}
+
+// RulePart is a service's share of a route.
+type RulePart struct {
+	// Service names the service.
+	Service string
+	// Weight is the service's share relative to the other parts' weights.
+	Weight float64
+}
+
+// ServiceFacts are what a RouteTable says of a service.
+type ServiceFacts struct {
+	// Name names the service.
+	Name string
+	// HealthPath is the path of a target's health check.
+	HealthPath string
+	// MaxConnections bounds the connections to a target. Zero means no bound.
+	MaxConnections int
+	// ColdFor is how long a target is cold after its start.
+	ColdFor time.Duration
+	// ColdPerSecond is how many requests a second a cold target bears.
+	ColdPerSecond float64
+}
+
+// CallerLimits bound what a caller may send. Zero means that the table states
+// no bound.
+type CallerLimits struct {
+	// HeaderBytes bounds the headers of a request.
+	HeaderBytes int64
+	// BodyBytes bounds the body of a request.
+	BodyBytes int64
+	// HeaderTimeout bounds the time that the headers take.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection is kept without a request.
+	IdleTimeout time.Duration
+}
+
+// NewRouteTable returns the table of a version.
+func NewRouteTable(number uint64, rules []Rule, services []ServiceFacts, limits CallerLimits) *RouteTable {
+	t := &RouteTable{
+		number:   number,
+		byHost:   make(map[string][]Rule),
+		services: make(map[string]ServiceFacts, len(services)),
+		limits:   limits,
+	}
+	for _, rule := range rules {
+		rule.Host = canonicalHost(rule.Host)
+		t.byHost[rule.Host] = append(t.byHost[rule.Host], rule)
+	}
+	for _, ofHost := range t.byHost {
+		slices.SortStableFunc(ofHost, func(a, b Rule) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	for _, service := range services {
+		t.services[service.Name] = service
+	}
+	return t
+}
+
+// Number returns the version's number. A higher one is a later version.
+func (t *RouteTable) Number() uint64 { return t.number }
+
+// Limits returns the bounds for callers.
+func (t *RouteTable) Limits() CallerLimits { return t.limits }
+
+// Service returns what the table says of a service.
+func (t *RouteTable) Service(name string) (ServiceFacts, bool) {
+	facts, ok := t.services[name]
+	return facts, ok
+}
+
+// Services returns the number of services.
+func (t *RouteTable) Services() int { return len(t.services) }
+
+// Route returns the rule of the host with the longest prefix of the path, or
+// nil. The path is the one that the caller sent, undecoded.
+func (t *RouteTable) Route(host, path string) *Rule {
+	rules := t.byHost[canonicalHost(host)]
+	for i := range rules {
+		if strings.HasPrefix(path, rules[i].PathPrefix) {
+			return &rules[i]
+		}
+	}
+	return nil
+}
