--- a/gateway/events.go
+++ b/gateway/events.go
@@ -66,6 +66,11 @@
 	e.journal.Log(journal.Failure, "no_route", "request", id, "host", r.Host, "path", r.Path, "config", config)
 }
 
+// refusedStopping tells of a request that came when the node was about to end.
+func (e *events) refusedStopping(id string) {
+	e.journal.Log(journal.Failure, "refused_stopping", "request", id)
+}
+
 // rejected tells of a request that could not be read.
 func (e *events) rejected(status int, reason string) {
 	e.meters.rejected.Inc(1)
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -150,7 +151,7 @@
 func (g *guard) done(o *order, took time.Duration, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Done(o.work.Kind, took, failed, time.Now())
+	g.gate.Done(o.work, took, failed, time.Now())
 }
 
 // sendFailed ends an attempt without an answer. Only a request of which no
@@ -315,6 +316,14 @@
 	}
 }
 
+// inherits draws whether a request that begins here belongs to a repeat that
+// the target runs.
+func (g *guard) inherits() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return rand.Float64() < g.gate.RepeatShare()
+}
+
 // fence makes sure that a request that did not come yet never runs.
 func (g *guard) fence(id string) bool {
 	g.mu.Lock()
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -167,11 +167,12 @@
 		strconv.FormatInt(o.work.Due.Sub(now).Milliseconds(), 10),
 		strconv.FormatBool(o.work.Repeat),
 		strconv.FormatBool(o.work.Once),
+		strconv.FormatBool(o.work.Inherited),
 	}, ";")
 }
 
 // orderParts is the number of fields that encodeOrder writes.
-const orderParts = 5
+const orderParts = 6
 
 // decodeOrder reads what encodeOrder wrote.
 func decodeOrder(text string, now time.Time) (gate.Work, error) {
@@ -183,13 +184,14 @@
 	due, dueErr := strconv.ParseInt(parts[2], 10, 64)
 	repeat, repeatErr := strconv.ParseBool(parts[3])
 	once, onceErr := strconv.ParseBool(parts[4])
-	for _, err := range []error{rankErr, dueErr, repeatErr, onceErr} {
+	inherited, inheritedErr := strconv.ParseBool(parts[5])
+	for _, err := range []error{rankErr, dueErr, repeatErr, onceErr, inheritedErr} {
 		if err != nil {
 			return gate.Work{}, errors.Wrapf(err, "decode order %q", text)
 		}
 	}
 	return gate.Work{
-		Kind: parts[0], Rank: rank, Repeat: repeat, Once: once,
+		Kind: parts[0], Rank: rank, Repeat: repeat, Once: once, Inherited: inherited,
 		Due: now.Add(time.Duration(due) * time.Millisecond),
 	}, nil
 }
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -59,6 +59,13 @@
 func (n *Node) ingress(ctx context.Context, r *pipeline.Request) *pipeline.Response {
 	id := r.Header.Get(platform.HeaderRequestID)
 	table := n.config.table()
+	if n.closing.Load() {
+		n.events.refusedStopping(id)
+		return n.fail(id, &request.Failure{
+			Status: http.StatusServiceUnavailable, Title: "the node is stopping",
+			Outcome: request.NotRun, Step: "ingress", RetryAfter: stoppedRetryAfter,
+		})
+	}
 	if table.routes == nil {
 		return n.fail(id, &request.Failure{
 			Status: http.StatusServiceUnavailable, Title: "no configuration yet",
@@ -144,13 +151,14 @@
 		caller:    n.settings().Service,
 		objective: objective,
 		work: gate.Work{
-			ID:       id,
-			Kind:     rule.Name,
-			Caller:   n.settings().Service,
-			Rank:     rule.Rank,
-			Due:      r.Arrived.Add(min(objective, timeout)),
-			Deadline: r.Arrived.Add(timeout),
-			Once:     !rule.Idempotent,
+			ID:        id,
+			Kind:      rule.Name,
+			Caller:    n.settings().Service,
+			Rank:      rule.Rank,
+			Due:       r.Arrived.Add(min(objective, timeout)),
+			Deadline:  r.Arrived.Add(timeout),
+			Once:      !rule.Idempotent,
+			Inherited: n.guard.inherits(),
 		},
 	}
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -48,7 +48,10 @@
 	ready    *readiness
 	callers  *pipeline.Server
 	hopsIn   *pipeline.Server
+	// stopping tells that a planned stop has begun, and closing that no more
+	// requests are taken.
 	stopping atomic.Bool
+	closing  atomic.Bool
 
 	current   atomic.Pointer[Settings]
 	listeners map[string]net.Listener
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -12,6 +12,12 @@
 	refusalsToLeave = 2
 	// quietToLeave is how long nothing may be pending before the node leaves.
 	quietToLeave = 300 * time.Millisecond
+	// takeShare is the share of the time that a stop may take in which requests
+	// are still taken, so that those taken last have time to end.
+	takeShare = 0.5
+	// stoppedRetryAfter is when a caller may come back that came too late: another
+	// node takes it at once.
+	stoppedRetryAfter = 20 * time.Millisecond
 	// stopReserve is kept of the time that a stop may take, for the exit itself.
 	stopReserve = 700 * time.Millisecond
 	// stopPoll is the period of looking whether the node may leave.
@@ -30,7 +36,11 @@
 	n.events.log(journal.Change, "stopping", "pending", n.callers.Pending()+n.hopsIn.Pending())
 	limit := began.Add(n.settings().Limits.stop() - stopReserve)
 	quietSince := began
+	refuseAt := began.Add(time.Duration(takeShare * float64(n.settings().Limits.stop())))
 	for time.Now().Before(limit) {
+		if time.Now().After(refuseAt) {
+			n.closing.Store(true)
+		}
 		if n.callers.Pending()+n.hopsIn.Pending() > 0 {
 			quietSince = time.Now()
 		}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,9 +22,16 @@
 	// storeTimeout bounds a call to the store, beyond the wait of a watch. The
 	// store answers in milliseconds when it is well.
 	storeTimeout = 1500 * time.Millisecond
-	// watchWait is how long one watch waits. A connection that fell silent is
-	// noticed after it; peers tell of changes meanwhile.
-	watchWait = 12 * time.Second
+	// watchWait is how long one watch waits. The reads between nodes make up for
+	// one that fell silent.
+	watchWait = 25 * time.Second
+	// readEvery is the time between two reads of the configuration by any node of
+	// the fleet, since a watch may stay silent about a change. Each node reads
+	// in its turn and tells the others what is new.
+	readEvery = 700 * time.Millisecond
+	// readsPerList is how many reads of the configuration go by for each list of
+	// the data centres that are out, which has more time to take effect.
+	readsPerList = 2
 	// relistEvery is the mean time between two lists of what is watched.
 	relistEvery = 5 * time.Minute
 	// storeBackoff and storeBackoffCap bound the delays after failed calls. A
@@ -54,6 +62,8 @@
 	node   *Node
 	client *store.Client
 	rng    *rand.Rand
+	// reached tells that the latest call succeeded.
+	reached atomic.Bool
 }
 
 func newStoreSync(n *Node) *storeSync {
@@ -82,9 +92,11 @@
 				down = false
 				s.node.events.log(journal.Change, "dependency_back", "dependency", "store", "watch", prefix, "revision", u.Revision)
 			}
+			s.reached.Store(true)
 			handle(u)
 		},
 		Failed: func(err error) {
+			s.reached.Store(errors.Is(err, store.ErrCompacted))
 			if !down {
 				down = true
 				s.node.events.log(journal.Change, "dependency_lost", "dependency", "store", "watch", prefix, "err", err)
@@ -102,9 +114,51 @@
 func (s *storeSync) run(ctx context.Context) {
 	go s.watcher(platform.PrefixConfig, s.learnConfig).Run(ctx)
 	go s.watcher(platform.PrefixOut, s.learnOut).Run(ctx)
+	go s.readInTurn(ctx)
 	s.followNodes(ctx)
 }
 
+// readInTurn reads what is in force now and then. The more nodes reach the
+// store, the more seldom each of them reads.
+func (s *storeSync) readInTurn(ctx context.Context) {
+	for reads := 1; ; reads++ {
+		readers := 1 + s.node.fleet.ReachStore(time.Now())
+		pause := time.Duration(float64(readEvery) * float64(readers) * (0.5 + rand.Float64()))
+		if !s.reached.Load() {
+			pause = min(pause, readEvery)
+		}
+		if !wait.For(ctx, pause) {
+			return
+		}
+		err := s.readConfig(ctx)
+		if err == nil && reads%readsPerList == 0 {
+			err = s.listOut(ctx)
+		}
+		s.reached.Store(err == nil)
+	}
+}
+
+func (s *storeSync) readConfig(ctx context.Context) error {
+	object, err := s.client.Get(ctx, platform.KeyConfig)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.learnConfig(store.Update{Objects: []store.Object{object}})
+	return nil
+}
+
+func (s *storeSync) listOut(ctx context.Context) error {
+	objects, revision, err := s.client.List(ctx, platform.PrefixOut)
+	if err != nil {
+		return err
+	}
+	s.learnOut(store.Update{Objects: objects, Revision: revision, Whole: true})
+	return nil
+}
+
 func (s *storeSync) learnConfig(u store.Update) {
 	for _, object := range u.Objects {
 		if object.Key != platform.KeyConfig || object.Deleted {
--- a/process/fleet/status.go
+++ b/process/fleet/status.go
@@ -40,6 +40,9 @@
 	// EchoMillis is how long ago the node heard from the receiver. Negative means
 	// not yet.
 	EchoMillis int
+	// ReachesStore tells that the node's latest call to the platform's store
+	// succeeded.
+	ReachesStore bool
 }
 
 // ColdLeft returns how much longer the target is cold.
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -255,6 +255,20 @@
 	return count
 }
 
+// ReachStore returns the number of nodes in reach that reach the platform's
+// store.
+func (t *Table) ReachStore(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, p := range t.peers {
+		if p.Status.ReachesStore && t.reachable(p, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Peers returns copies of all peers, by name. Those silent for too long are
 // forgotten, unless they were never heard.
 func (t *Table) Peers(now time.Time) []Peer {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -51,7 +51,9 @@
 
 	speed   int
 	running int
-	queue   []*Ticket
+	// runningRepeats counts those of them that are repeats.
+	runningRepeats int
+	queue          []*Ticket
 	// paces holds the mean run time by kind of request, in seconds at usual speed.
 	paces map[string]float64
 	// mean is the mean run time of all kinds, in seconds.
@@ -189,6 +191,9 @@
 	g.running++
 	g.arrivals.add(now)
 	if work.Repeat {
+		g.runningRepeats++
+	}
+	if work.Repeat || work.Inherited {
 		g.repeats.add(now)
 	} else {
 		g.firsts.add(now)
@@ -273,23 +278,36 @@
 
 // Done ends a request that reached the target. Took is how long it ran; a
 // failed one says nothing about the pace.
-func (g *Gate) Done(kind string, took time.Duration, failed bool, now time.Time) {
-	g.running = max(0, g.running-1)
+func (g *Gate) Done(work Work, took time.Duration, failed bool, now time.Time) {
+	g.ended(work)
 	if !failed {
-		g.learn(kind, took)
+		g.learn(work.Kind, took)
 	}
 	g.advance(now)
 }
 
 // Unsent ends a request that passed and did not reach the target.
 func (g *Gate) Unsent(work Work, now time.Time) {
-	g.running = max(0, g.running-1)
+	g.ended(work)
 	if work.Once {
 		delete(g.seen, work.ID)
 	}
 	g.advance(now)
 }
 
+func (g *Gate) ended(work Work) {
+	g.running = max(0, g.running-1)
+	if work.Repeat {
+		g.runningRepeats = max(0, g.runningRepeats-1)
+	}
+}
+
+// RepeatShare returns the share of repeats among the requests that run. A call
+// that the target makes belongs to one of them.
+func (g *Gate) RepeatShare() float64 {
+	return float64(g.runningRepeats) / float64(max(1, g.running))
+}
+
 func (g *Gate) learn(kind string, took time.Duration) {
 	old, ok := g.paces[kind]
 	if !ok {
--- a/process/gate/work.go
+++ b/process/gate/work.go
@@ -19,6 +19,9 @@
 	// Repeat tells that the request was sent to a target before, or belongs to
 	// one that was.
 	Repeat bool
+	// Inherited tells that the request was probably made by the repeat of another
+	// one, so that it counts as a repeat.
+	Inherited bool
 	// Once tells that the request must not run twice.
 	Once bool
 
