--- a/cmd/vtnode/serve.go
+++ b/cmd/vtnode/serve.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 
@@ -48,6 +50,9 @@
 	}
 	n, err := gateway.New(settings, os.Stdout)
 	if err == nil {
+		changed := make(chan os.Signal, 1)
+		signal.Notify(changed, syscall.SIGHUP)
+		go n.FollowSettings(ctx, c.settings, changed)
 		err = n.Run(ctx)
 	}
 	if err != nil {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -35,6 +35,8 @@
 	tried []string
 	// sends counts the attempts that may have reached a target.
 	sends int
+	// ran tells that an attempt may have run.
+	ran bool
 	// asked counts all attempts.
 	asked int
 	// chosen is the load of the last choice, for the log.
@@ -89,11 +91,13 @@
 	d.asked++
 	d.chosen = *to
 	o := *d.order
-	o.work.Repeat = o.work.Repeat || d.sends > 0
+	o.work.Repeat = d.sends > 0
+	o.work.Rerun = d.ran
 	r := d.node.attempt(ctx, to, &o)
 	if r.arrived {
 		d.sends++
 	}
+	d.ran = d.ran || r.answer != nil || r.outcome != request.NotRun
 	if r.retryAfter > 0 && (d.retryAfter == 0 || r.retryAfter < d.retryAfter) {
 		d.retryAfter = r.retryAfter
 	}
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -316,6 +316,13 @@
 	}
 }
 
+// setRepeats changes the budget of repeated sends.
+func (g *guard) setRepeats(limits Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.SetRepeats(limits.repeats())
+}
+
 // inherits draws whether a request that begins here belongs to a repeat that
 // the target runs.
 func (g *guard) inherits() bool {
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -168,11 +168,12 @@
 		strconv.FormatBool(o.work.Repeat),
 		strconv.FormatBool(o.work.Once),
 		strconv.FormatBool(o.work.Inherited),
+		strconv.FormatBool(o.work.Rerun),
 	}, ";")
 }
 
 // orderParts is the number of fields that encodeOrder writes.
-const orderParts = 6
+const orderParts = 7
 
 // decodeOrder reads what encodeOrder wrote.
 func decodeOrder(text string, now time.Time) (gate.Work, error) {
@@ -185,13 +186,14 @@
 	repeat, repeatErr := strconv.ParseBool(parts[3])
 	once, onceErr := strconv.ParseBool(parts[4])
 	inherited, inheritedErr := strconv.ParseBool(parts[5])
-	for _, err := range []error{rankErr, dueErr, repeatErr, onceErr, inheritedErr} {
+	rerun, rerunErr := strconv.ParseBool(parts[6])
+	for _, err := range []error{rankErr, dueErr, repeatErr, onceErr, inheritedErr, rerunErr} {
 		if err != nil {
 			return gate.Work{}, errors.Wrapf(err, "decode order %q", text)
 		}
 	}
 	return gate.Work{
-		Kind: parts[0], Rank: rank, Repeat: repeat, Once: once, Inherited: inherited,
+		Kind: parts[0], Rank: rank, Repeat: repeat, Once: once, Inherited: inherited, Rerun: rerun,
 		Due: now.Add(time.Duration(due) * time.Millisecond),
 	}, nil
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -71,11 +71,7 @@
 	n.config = newConfigState(n.configChanged)
 	n.guard = newGuard(n, gate.Settings{
 		SlotShare: slotShare, QueueShare: queueShare, Remember: rememberIDs,
-		Repeats: gate.RepeatBudget{
-			Ratio:  settings.Limits.RepeatRatio,
-			Slack:  settings.Limits.RepeatSlack,
-			Window: time.Duration(settings.Limits.RepeatWindowSeconds * float64(time.Second)),
-		},
+		Repeats: settings.Limits.repeats(),
 	})
 	n.health = newHealthChecker(n)
 	n.peers = newPeerTalk(n, rand.Uint64())
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -8,6 +8,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
+
+	"verbenatrestle/process/gate"
 )
 
 // Settings of a node.
@@ -58,6 +60,15 @@
 	StopSeconds float64 `yaml:"stop_s"`
 }
 
+// repeats returns the budget of repeated sends.
+func (l Limits) repeats() gate.RepeatBudget {
+	return gate.RepeatBudget{
+		Ratio:  l.RepeatRatio,
+		Slack:  l.RepeatSlack,
+		Window: time.Duration(l.RepeatWindowSeconds * float64(time.Second)),
+	}
+}
+
 // stop returns how long a planned stop may take.
 func (l Limits) stop() time.Duration {
 	return time.Duration(l.StopSeconds * float64(time.Second))
--- a/process/gate/budget.go
+++ b/process/gate/budget.go
@@ -18,9 +18,13 @@
 // window may be counted on its other side.
 const safety = 0.8
 
-// allows reports whether one more repeat keeps the budget of a service with
-// that many targets.
-func (b RepeatBudget) allows(firsts, repeats, targets int) bool {
-	allowance := safety * (b.Ratio*float64(firsts) + b.Slack/float64(max(targets, 1)))
+// rerunShare is the part of the budget for requests that have run before. Each
+// of them repeats its calls at other services too.
+const rerunShare = 0.3
+
+// allows reports whether one more repeat keeps that share of the budget of a
+// service with that many targets.
+func (b RepeatBudget) allows(firsts, repeats, targets int, share float64) bool {
+	allowance := share * safety * (b.Ratio*float64(firsts) + b.Slack/float64(max(targets, 1)))
 	return float64(repeats+1) <= allowance
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -62,6 +62,7 @@
 	arrivals window
 	firsts   window
 	repeats  window
+	reruns   window
 	peers    int
 
 	seen    map[string]trace
@@ -83,6 +84,7 @@
 		arrivals: window{span: coldSpan},
 		firsts:   window{span: settings.Repeats.Window},
 		repeats:  window{span: settings.Repeats.Window},
+		reruns:   window{span: settings.Repeats.Window},
 		peers:    1,
 		seen:     make(map[string]trace),
 		callers:  make(callers),
@@ -152,7 +154,7 @@
 		return RefusedDown, downRetryAfter
 	case !work.Deadline.After(now):
 		return RefusedLate, minRetryAfter
-	case work.Repeat && !g.settings.Repeats.allows(g.firsts.count(now), g.repeats.count(now), g.peers):
+	case work.Repeat && !g.allowsRepeat(work, now):
 		return RefusedBudget, minRetryAfter
 	}
 	if old, ok := g.seen[work.ID]; ok && work.Once {
@@ -164,6 +166,16 @@
 	return "", 0
 }
 
+// allowsRepeat reports whether the budget has room for a repeat. Requests that
+// run again make their calls again, so they get a part of it only.
+func (g *Gate) allowsRepeat(work Work, now time.Time) bool {
+	firsts := g.firsts.count(now)
+	if work.Rerun && !g.settings.Repeats.allows(firsts, g.reruns.count(now), g.peers, rerunShare) {
+		return false
+	}
+	return g.settings.Repeats.allows(firsts, g.repeats.count(now), g.peers, 1)
+}
+
 // Limit returns how many requests may run at once.
 func (g *Gate) Limit() int {
 	if g.target == nil {
@@ -193,6 +205,9 @@
 	if work.Repeat {
 		g.runningRepeats++
 	}
+	if work.Rerun {
+		g.reruns.add(now)
+	}
 	if work.Repeat || work.Inherited {
 		g.repeats.add(now)
 	} else {
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -148,6 +148,12 @@
 	g.advance(now)
 }
 
+// SetRepeats changes the budget of repeats.
+func (g *Gate) SetRepeats(budget RepeatBudget) {
+	g.settings.Repeats = budget
+	g.firsts.span, g.repeats.span, g.reruns.span = budget.Window, budget.Window, budget.Window
+}
+
 // SetPeers sets the number of targets of the service, which share its budget
 // of repeats.
 func (g *Gate) SetPeers(targets int) { g.peers = max(1, targets) }
--- a/process/gate/work.go
+++ b/process/gate/work.go
@@ -19,6 +19,8 @@
 	// Repeat tells that the request was sent to a target before, or belongs to
 	// one that was.
 	Repeat bool
+	// Rerun tells of a repeat that may have run before.
+	Rerun bool
 	// Inherited tells that the request was probably made by the repeat of another
 	// one, so that it counts as a repeat.
 	Inherited bool
