Test gate, fleet, exchange, pipeline and the translation of messages

The tests found two faults: headers that came too slowly were answered 400 in place of 408, and a header of milliseconds that reads NaN became a negative time.

--- /dev/null
+++ b/connection/exchange/exchange_test.go
@@ -0,0 +1,300 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// script answers each request on a connection with the next text. An empty
+// text closes the connection.
+func script(t *testing.T, texts ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go play(c, texts)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func play(c net.Conn, texts []string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for _, text := range texts {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if text == "" {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+	}
+	_, _ = io.Copy(io.Discard, reader)
+}
+
+const idHeader = "X-Id"
+
+func newTestPool(address string) *Pool {
+	return NewPool(address, Options{IDHeader: idHeader, DialTimeout: time.Second, IdleTimeout: time.Minute})
+}
+
+func get(t *testing.T, p *Pool, id string) (*Answer, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return p.Do(ctx, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, ID: id}, 0)
+}
+
+func answerTo(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string {
+	return strings.TrimLeft(strings.Join([]string{string(rune('0' + n/10)), string(rune('0' + n%10))}, ""), "0")
+}
+
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	p := newTestPool(script(t, answerTo("a", "first")+answerTo("z", "late"), answerTo("b", "second")))
+	for id, want := range map[string]string{"a": "first"} {
+		answer, err := get(t, p, id)
+		if err != nil || string(answer.Body) != want {
+			t.Fatalf("%v, %v", answer, err)
+		}
+	}
+	answer, err := get(t, p, "b")
+	if err == nil && string(answer.Body) != "second" {
+		t.Fatalf("the answer to another request: %q", answer.Body)
+	}
+}
+
+func TestLateAnswerBeforeTheRightOneIsSkipped(t *testing.T) {
+	p := newTestPool(script(t, answerTo("old", "late")+answerTo("a", "right")))
+	answer, err := get(t, p, "a")
+	if err != nil || string(answer.Body) != "right" {
+		t.Fatalf("%v, %v", answer, err)
+	}
+}
+
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"short body":      "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nshort",
+		"broken chunk":    "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+		"no last chunk":   "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"broken head":     "HTTP/1.1 200 OK\r\nX-Id: a\r\nConte",
+		"no protocol":     "what is this\r\n\r\n",
+		"nothing":         "",
+		"other length":    "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello",
+		"switch protocol": "HTTP/1.1 101 Switching Protocols\r\nX-Id: a\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPool(script(t, text, ""))
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			answer, err := p.Do(ctx, &Request{Method: "GET", Target: "/", Host: "h", ID: "a"}, 0)
+			if err == nil {
+				t.Fatalf("passed for whole: %q", answer.Body)
+			}
+			if failure := AsError(err); failure == nil || !failure.Sent {
+				t.Fatalf("the error does not tell that the request was sent: %v", err)
+			}
+		})
+	}
+}
+
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	for _, reset := range []bool{false, true} {
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nhello")
+			time.Sleep(50 * time.Millisecond)
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}()
+		answer, err := get(t, newTestPool(listener.Addr().String()), "a")
+		if reset && err == nil {
+			t.Fatal("an answer whose connection was reset passes for whole")
+		}
+		if !reset && (err != nil || string(answer.Body) != "hello") {
+			t.Fatalf("%v, %v", answer, err)
+		}
+	}
+}
+
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	p := newTestPool(script(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"+answerTo("a", "final")))
+	answer, err := get(t, p, "a")
+	if err != nil || string(answer.Body) != "final" {
+		t.Fatalf("%v, %v", answer, err)
+	}
+}
+
+func TestHeadHasNoBody(t *testing.T) {
+	p := newTestPool(script(t, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\n"))
+	answer, err := p.Do(context.Background(), &Request{Method: http.MethodHead, Target: "/", Host: "h", ID: "a"}, 0)
+	if err != nil || len(answer.Body) != 0 || answer.Header.Get("Content-Length") != "10" {
+		t.Fatalf("%v, %v", answer, err)
+	}
+}
+
+// A peer closes an idle connection: the next request opens another one and is
+// not lost.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	opened := 0
+	address := script(t, answerTo("a", "one"), "")
+	p := NewPool(address, Options{IDHeader: idHeader, DialTimeout: time.Second, IdleTimeout: time.Minute, Opened: func() { opened++ }})
+	if _, err := get(t, p, "a"); err != nil {
+		t.Fatal(err)
+	}
+	p.mu.Lock()
+	_ = p.idle[0].Conn.(*net.TCPConn).CloseWrite()
+	p.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	if _, err := get(t, p, "a"); err != nil {
+		t.Fatalf("a request met a closed connection: %v", err)
+	}
+	if opened != 2 {
+		t.Fatalf("%d connections opened", opened)
+	}
+}
+
+func TestKeepAliveOfThePeerIsKept(t *testing.T) {
+	text := strings.Replace(answerTo("a", "one"), "X-Id", "Keep-Alive: timeout=1\r\nX-Id", 1)
+	opened := 0
+	p := NewPool(script(t, text, text), Options{IDHeader: idHeader, DialTimeout: time.Second, IdleTimeout: time.Minute, Opened: func() { opened++ }})
+	for range 2 {
+		if _, err := get(t, p, "a"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+	if opened != 2 {
+		t.Fatalf("%d connections opened, want one for each request", opened)
+	}
+}
+
+func TestRefusedDialWasNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = get(t, newTestPool(address), "a")
+	if failure := AsError(err); failure == nil || failure.Kind != KindDial || failure.Sent {
+		t.Fatalf("%v", err)
+	}
+}
+
+func TestCancelEndsTheConnectionAtOnce(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	gone := make(chan struct{})
+	arrived := make(chan struct{})
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(c)
+		_, _ = http.ReadRequest(reader)
+		close(arrived)
+		_, _ = reader.ReadByte()
+		close(gone)
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-arrived; cancel() }()
+	_, err = newTestPool(listener.Addr().String()).Do(ctx, &Request{Method: "GET", Target: "/", Host: "h", ID: "a"}, 0)
+	if failure := AsError(err); failure == nil || failure.Kind != KindCancelled || !failure.Sent {
+		t.Fatalf("%v", err)
+	}
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the peer still holds the connection")
+	}
+}
+
+func TestLimitOfConnections(t *testing.T) {
+	p := NewPool(script(t, "hang"), Options{IDHeader: idHeader, DialTimeout: time.Second, IdleTimeout: time.Minute, MaxOpen: 1})
+	if !p.reserve() {
+		t.Fatal("no room at first")
+	}
+	_, err := get(t, p, "a")
+	if failure := AsError(err); failure == nil || failure.Kind != KindFull || failure.Sent {
+		t.Fatalf("%v", err)
+	}
+	if !errors.Is(err, errFull) {
+		t.Fatalf("%v", err)
+	}
+}
+
+// A target answers a long request before it has read it, keeps the connection
+// and reads on: the rest of the body has to follow before the next request.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	body := strings.Repeat("x", 4<<20)
+	lengths := make(chan int, 2)
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(c)
+		for _, id := range []string{"a", "b"} {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, answerTo(id, "early"))
+			time.Sleep(100 * time.Millisecond)
+			read, _ := io.ReadAll(r.Body)
+			lengths <- len(read)
+		}
+	}()
+	p := newTestPool(listener.Addr().String())
+	for _, id := range []string{"a", "b"} {
+		request := &Request{Method: "POST", Target: "/", Host: "h", ID: id, Body: []byte(body), Header: http.Header{}}
+		if _, err := p.Do(context.Background(), request, 0); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-lengths; got != len(body) {
+			t.Fatalf("the peer read %d bytes of %d", got, len(body))
+		}
+	}
+}
--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -190,11 +190,12 @@
 // can't be served.
 func (c *serverConn) read(limits Limits, turn <-chan struct{}) (*Request, *Response, error) {
 	c.limit.N = limits.HeaderBytes + bufferBytes
+	due := time.Now().Add(limits.HeaderTimeout)
 	parsed, err := http.ReadRequest(c.reader)
 	overlong := c.limit.N <= 0
 	c.limit.N = math.MaxInt64
 	if err != nil {
-		return nil, c.headFailure(err, overlong), err
+		return nil, c.headFailure(err, overlong, !time.Now().Before(due)), err
 	}
 	if headerSize(parsed) > limits.HeaderBytes {
 		return nil, c.server.Reject(http.StatusRequestHeaderFieldsTooLarge, "headers are too long"), nil
@@ -233,11 +234,11 @@
 
 // headFailure returns the answer to a head that can't be read, or nil if the
 // caller has left.
-func (c *serverConn) headFailure(err error, overlong bool) *Response {
+func (c *serverConn) headFailure(err error, overlong, late bool) *Response {
 	switch {
 	case overlong:
 		return c.server.Reject(http.StatusRequestHeaderFieldsTooLarge, "headers are too long")
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case late:
 		return c.server.Reject(http.StatusRequestTimeout, "headers did not come in time")
 	case isConnError(err):
 		return nil
--- /dev/null
+++ b/connection/pipeline/server_test.go
@@ -0,0 +1,218 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+func serve(t *testing.T, limits Limits, handler Handler) (*Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{
+		Handler: handler,
+		Limits:  func() Limits { return limits },
+		Reject: func(status int, reason string) *Response {
+			return &Response{Status: status, Header: http.Header{}, Body: []byte(reason)}
+		},
+		Logger: log.NewNopLogger(),
+	}
+	go func() { _ = s.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close(); s.Close() })
+	return s, listener.Addr().String()
+}
+
+var wide = Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func read(t *testing.T, reader *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+func echo(_ context.Context, r *Request) *Response {
+	return &Response{Status: http.StatusOK, Header: http.Header{}, Body: append([]byte(r.Target+":"), r.Body...)}
+}
+
+// The last of three requests ends first: they run side by side, and are
+// answered in order.
+func TestPipelinedRequestsRunSideBySide(t *testing.T) {
+	release := make(chan struct{})
+	_, address := serve(t, wide, func(ctx context.Context, r *Request) *Response {
+		if r.Target == "/3" {
+			close(release)
+		}
+		<-release
+		return echo(ctx, r)
+	})
+	c, reader := dial(t, address)
+	for i := 1; i <= 3; i++ {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+	}
+	for i := 1; i <= 3; i++ {
+		if _, body := read(t, reader); body != fmt.Sprintf("/%d:", i) {
+			t.Fatalf("answer %d is %q", i, body)
+		}
+	}
+}
+
+func TestTurnComesWithTheAnswersBefore(t *testing.T) {
+	first := make(chan struct{})
+	_, address := serve(t, wide, func(ctx context.Context, r *Request) *Response {
+		if r.Target == "/1" {
+			<-first
+			return echo(ctx, r)
+		}
+		select {
+		case <-r.Turn:
+			return &Response{Status: http.StatusConflict, Header: http.Header{}}
+		case <-time.After(50 * time.Millisecond):
+		}
+		close(first)
+		<-r.Turn
+		return echo(ctx, r)
+	})
+	c, reader := dial(t, address)
+	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	for i := 1; i <= 2; i++ {
+		if response, _ := read(t, reader); response.StatusCode != http.StatusOK {
+			t.Fatalf("answer %d: %d", i, response.StatusCode)
+		}
+	}
+}
+
+func TestCallerThatLeavesCancelsItsWork(t *testing.T) {
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		running, cancelled := make(chan struct{}), make(chan struct{})
+		_, address := serve(t, wide, func(ctx context.Context, r *Request) *Response {
+			close(running)
+			<-ctx.Done()
+			close(cancelled)
+			return echo(ctx, r)
+		})
+		c, _ := dial(t, address)
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n"+header+"\r\n")
+		<-running
+		_ = c.Close()
+		select {
+		case <-cancelled:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the work goes on")
+		}
+	}
+}
+
+func TestBodies(t *testing.T) {
+	_, address := serve(t, wide, echo)
+	for name, text := range map[string]string{
+		"length":   "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+		"chunks":   "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+		"continue": "POST /x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, reader := dial(t, address)
+			_, _ = io.WriteString(c, text)
+			response, body := read(t, reader)
+			if response.StatusCode == http.StatusContinue {
+				_, body = read(t, reader)
+			}
+			if body != "/x:hello" {
+				t.Fatalf("%q", body)
+			}
+		})
+	}
+}
+
+func TestRequestsThatCannotBeRead(t *testing.T) {
+	limits := Limits{HeaderBytes: 1000, BodyBytes: 10, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 5 * time.Second}
+	_, address := serve(t, limits, echo)
+	for name, test := range map[string]struct {
+		text string
+		want int
+	}{
+		"long headers":   {"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", 2000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"endless header": {"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", 20000), http.StatusRequestHeaderFieldsTooLarge},
+		"long body":      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world", http.StatusRequestEntityTooLarge},
+		"long chunks":    {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		"slow headers":   {"GET / HTTP/1.1\r\nHo", http.StatusRequestTimeout},
+		"malformed":      {"what is this\r\n\r\n", http.StatusBadRequest},
+		"two lengths":    {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello", http.StatusBadRequest},
+		"bad chunk":      {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello", http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, reader := dial(t, address)
+			_, _ = io.WriteString(c, test.text)
+			response, _ := read(t, reader)
+			if response.StatusCode != test.want {
+				t.Fatalf("status %d, want %d", response.StatusCode, test.want)
+			}
+			if !response.Close {
+				t.Fatal("the connection goes on behind bytes that could not be read")
+			}
+		})
+	}
+}
+
+func TestDrainClosesBehindAnAnswerOnly(t *testing.T) {
+	s, address := serve(t, wide, echo)
+	c, reader := dial(t, address)
+	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	if response, _ := read(t, reader); response.Close {
+		t.Fatal("closed before the drain")
+	}
+	s.Drain()
+	_, _ = io.WriteString(c, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	response, body := read(t, reader)
+	if !response.Close || body != "/2:" {
+		t.Fatalf("close %v, %q", response.Close, body)
+	}
+	if _, err := reader.ReadByte(); err == nil {
+		t.Fatal("the connection goes on")
+	}
+}
+
+func TestIdleConnectionIsClosedAfterItsTimeout(t *testing.T) {
+	limits := wide
+	limits.IdleTimeout = 200 * time.Millisecond
+	_, address := serve(t, limits, func(ctx context.Context, r *Request) *Response {
+		time.Sleep(400 * time.Millisecond)
+		return echo(ctx, r)
+	})
+	c, reader := dial(t, address)
+	_, _ = io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	if _, body := read(t, reader); body != "/slow:" {
+		t.Fatalf("%q", body)
+	}
+	if _, err := reader.ReadByte(); err == nil {
+		t.Fatal("the connection goes on")
+	}
+}
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -239,9 +239,8 @@
 		r.answer = answer
 		r.arrived = true
 	case request.NotRun:
-		after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
-		if err == nil {
-			r.retryAfter = time.Duration(after * float64(time.Second))
+		if after, err := platform.ParseSeconds(header.Get("Retry-After")); err == nil {
+			r.retryAfter = after
 		}
 	default:
 		r.outcome = request.Unknown
--- /dev/null
+++ b/process/fleet/table_test.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "verbenatrestle/internal/testseed"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newTestTable() *Table {
+	return NewTable(Settings{SilentAfter: time.Second, ForgetAfter: time.Minute, AvoidFor: 300 * time.Millisecond})
+}
+
+func status(node string, incarnation, sequence uint64) Status {
+	return Status{
+		Node: node, Incarnation: incarnation, Sequence: sequence, Hop: "10.0.0.1:1",
+		Service: "s", Instance: "i", Slots: 4, Speed: 100, Open: true,
+	}
+}
+
+func TestLateStatusOfAnEarlierLifeIsDropped(t *testing.T) {
+	table := newTestTable()
+	table.Merge(status("a", 1, 5), "c", start)
+	if news, fresh := table.Merge(status("a", 2, 1), "c", start); !news || !fresh {
+		t.Fatal("a new life whose count starts anew is no news")
+	}
+	if news, _ := table.Merge(status("a", 1, 6), "c", start); news {
+		t.Fatal("a late status of the former life is news")
+	}
+	if news, _ := table.Merge(status("a", 2, 1), "c", start); news {
+		t.Fatal("a status that came twice is news")
+	}
+}
+
+func TestOrderOfDatagramsDoesNotMatterWithinALife(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newTestTable()
+		highest := uint64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "datagrams") {
+			sequence := rapid.Uint64Range(1, 30).Draw(t, "sequence")
+			if rapid.Bool().Draw(t, "beat") {
+				table.MergeBeat(Beat{Incarnation: 1, Sequence: sequence, Running: int(sequence)}, start)
+				if highest > 0 {
+					highest = max(highest, sequence)
+				}
+			} else {
+				s := status("a", 1, sequence)
+				s.Running = int(sequence)
+				table.Merge(s, "c", start)
+				highest = max(highest, sequence)
+			}
+			if p, ok := table.Peer("a"); ok && p.Status.Running != int(highest) {
+				t.Fatalf("load of datagram %d counts, the newest is %d", p.Status.Running, highest)
+			}
+		}
+	})
+}
+
+// Packets pass one way only: a node that is heard, and does not hear this one,
+// is no candidate.
+func TestPeerHasToHearThisNode(t *testing.T) {
+	table := newTestTable()
+	s := status("a", 1, 1)
+	s.EchoMillis = -1
+	table.Merge(s, "c", start)
+	if len(table.Candidates("s", start)) != 0 {
+		t.Fatal("a peer that does not hear this node is a candidate")
+	}
+	s.Sequence, s.EchoMillis = 2, 100
+	table.Merge(s, "c", start)
+	if len(table.Candidates("s", start)) != 1 {
+		t.Fatal("a peer in reach is no candidate")
+	}
+	s.Sequence, s.EchoMillis = 3, 2000
+	table.Merge(s, "c", start.Add(500*time.Millisecond))
+	if len(table.Candidates("s", start.Add(500*time.Millisecond))) != 0 {
+		t.Fatal("a peer that no longer hears this node is a candidate")
+	}
+}
+
+func TestSilentStoppingClosedAndFailedPeersAreNoCandidates(t *testing.T) {
+	for name, spoil := range map[string]func(table *Table) time.Time{
+		"silent":   func(*Table) time.Time { return start.Add(1100 * time.Millisecond) },
+		"stopping": func(t *Table) time.Time { s := status("a", 1, 2); s.Stopping = true; t.Merge(s, "c", start); return start },
+		"closed":   func(t *Table) time.Time { s := status("a", 1, 2); s.Open = false; t.Merge(s, "c", start); return start },
+		"refusal":  func(t *Table) time.Time { t.Observe("a", Load{}, start); return start },
+		"failed":   func(t *Table) time.Time { t.Failed("a", start); return start.Add(100 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTestTable()
+			table.Merge(status("a", 1, 1), "c", start)
+			if len(table.Candidates("s", start)) != 1 {
+				t.Fatal("no candidate at first")
+			}
+			if now := spoil(table); len(table.Candidates("s", now)) != 0 {
+				t.Fatal("still a candidate")
+			}
+		})
+	}
+}
+
+func TestSilenceTellsEachLossAndReturnOnce(t *testing.T) {
+	table := newTestTable()
+	var silence Silence
+	table.Merge(status("a", 1, 1), "c", start)
+	if c := silence.Changes(table, start); len(c) != 1 || !c[0].Back {
+		t.Fatalf("at first: %v", c)
+	}
+	later := start.Add(3 * time.Second)
+	if c := silence.Changes(table, later); len(c) != 1 || c[0].Back {
+		t.Fatalf("when silent: %v", c)
+	}
+	if c := silence.Changes(table, later); len(c) != 0 {
+		t.Fatalf("a second time: %v", c)
+	}
+}
+
+func TestIntroducedNodeKeepsTheAddressThatItIsHeardFrom(t *testing.T) {
+	table := newTestTable()
+	table.Merge(status("a", 1, 1), "new", start)
+	table.Introduce("a", "dc", "old-hop", "old", start)
+	if p, _ := table.Peer("a"); p.Contact != "new" {
+		t.Fatalf("contact %q", p.Contact)
+	}
+	later := start.Add(10 * time.Second)
+	table.Introduce("a", "dc", "moved-hop", "moved", later)
+	if p, _ := table.Peer("a"); p.Contact != "moved" || p.Status.Hop != "moved-hop" {
+		t.Fatalf("contact %q, hop %q after a silence", p.Contact, p.Status.Hop)
+	}
+}
--- /dev/null
+++ b/process/gate/gate_test.go
@@ -0,0 +1,350 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "verbenatrestle/internal/testseed"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newTestGate(slots int) *Gate {
+	g := New(Settings{
+		SlotShare: 1, QueueShare: 1, Remember: 10 * time.Second,
+		Repeats: RepeatBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
+	})
+	g.Reported(Report{Instance: "i-1", Service: "s", Address: "10.0.0.1:1", Slots: slots, Sequence: 1, Born: 1000}, start)
+	g.Configure(19, 3*time.Second)
+	return g
+}
+
+func work(id string, now time.Time) Work {
+	return Work{ID: id, Kind: "k", Caller: "c", Rank: 1, Due: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+}
+
+func TestNeverMoreThanSlotsRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		g := newTestGate(slots)
+		now := start
+		running := 0
+		var waiting []*Ticket
+		settle := func() {
+			kept := waiting[:0]
+			for _, ticket := range waiting {
+				select {
+				case refused := <-ticket.Result:
+					if refused == "" {
+						running++
+					}
+				default:
+					kept = append(kept, ticket)
+				}
+			}
+			waiting = kept
+		}
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch {
+			case running > 0 && rapid.Bool().Draw(t, "end"):
+				g.Done(work("x", now), 30*time.Millisecond, false, now)
+				running--
+			default:
+				decision := g.Offer(work(fmt.Sprint(i), now), now)
+				if decision.Passed() {
+					running++
+				}
+				if decision.Wait != nil {
+					waiting = append(waiting, decision.Wait)
+				}
+			}
+			settle()
+			if running > slots {
+				t.Fatalf("%d run at %d slots", running, slots)
+			}
+			if got := g.State(now).Running; got != running {
+				t.Fatalf("the gate counts %d, %d run", got, running)
+			}
+			if len(waiting) > 0 && running < slots {
+				t.Fatalf("%d wait while %d of %d run", len(waiting), running, slots)
+			}
+		}
+	})
+}
+
+// A zone comes back cold under full load: in no second may the target get more
+// than it bears cold.
+func TestColdTargetUnderFullLoadGetsItsRateInAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newTestGate(18)
+		g.Reported(Report{Instance: "i-2", Service: "s", Slots: 18, Sequence: 1, Born: 2000, ColdFor: 3 * time.Second}, start)
+		var arrivals []time.Time
+		now := start
+		for i := range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 12).Draw(t, "ms")) * time.Millisecond)
+			if !g.cold(now) {
+				break
+			}
+			decision := g.Offer(work(fmt.Sprint(i), now), now)
+			if decision.Passed() {
+				arrivals = append(arrivals, now)
+				g.Done(work("", now), time.Millisecond, false, now)
+			} else if decision.Wait != nil {
+				g.Cancel(decision.Wait)
+			}
+		}
+		for i := range arrivals {
+			if j := i + 19; j < len(arrivals) && arrivals[j].Sub(arrivals[i]) < time.Second {
+				t.Fatalf("20 arrivals within %v", arrivals[j].Sub(arrivals[i]))
+			}
+		}
+	})
+}
+
+func TestLeavingTargetGetsNothingMore(t *testing.T) {
+	for name, leave := range map[string]func(g *Gate){
+		"by report": func(g *Gate) {
+			g.Reported(Report{Instance: "i-1", Service: "s", Slots: 2, Sequence: 2, Born: 1000, Leaving: true}, start)
+		},
+		"by leave":              func(g *Gate) { g.Left("i-1", 1000, start) },
+		"by leave without born": func(g *Gate) { g.Left("i-1", start.UnixMilli(), start) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGate(2)
+			leave(g)
+			if d := g.Offer(work("a", start), start); d.Refused != RefusedLeaving {
+				t.Fatalf("refused %q, want %q", d.Refused, RefusedLeaving)
+			}
+			late := Report{Instance: "i-1", Service: "s", Slots: 2, Sequence: 3, Born: 1000}
+			g.Reported(late, start)
+			if d := g.Offer(work("b", start), start); d.Refused != RefusedLeaving {
+				t.Fatalf("after a late report: refused %q, want %q", d.Refused, RefusedLeaving)
+			}
+			again := Report{Instance: "i-1", Service: "s", Slots: 2, Sequence: 1, Born: start.UnixMilli() + 500}
+			g.Reported(again, start)
+			if d := g.Offer(work("c", start), start); !d.Passed() {
+				t.Fatalf("a new life under the same id is refused: %q", d.Refused)
+			}
+		})
+	}
+}
+
+func TestLeavingTargetRefusesThoseThatWait(t *testing.T) {
+	g := newTestGate(1)
+	g.Offer(work("a", start), start)
+	waiting := g.Offer(work("b", start), start).Wait
+	if waiting == nil {
+		t.Fatal("the second request does not wait")
+	}
+	g.Left("i-1", 1000, start)
+	if refused := <-waiting.Result; refused != RefusedLeaving {
+		t.Fatalf("refused %q, want %q", refused, RefusedLeaving)
+	}
+}
+
+func TestOnlyTheNewestLifeAndReportCount(t *testing.T) {
+	g := newTestGate(4)
+	older := Report{Instance: "i-0", Service: "other", Slots: 9, Sequence: 99, Born: 500}
+	if g.Reported(older, start) {
+		t.Fatal("a report of an earlier life was taken")
+	}
+	if g.Reported(Report{Instance: "i-1", Service: "s", Slots: 9, Sequence: 1, Born: 1000}, start) {
+		t.Fatal("a report that came twice was taken")
+	}
+	if !g.Reported(Report{Instance: "i-1", Service: "s", Slots: 9, Sequence: 1, Born: 3000}, start) {
+		t.Fatal("a new life whose count starts anew was not taken")
+	}
+}
+
+func TestMoreUrgentGoFirst(t *testing.T) {
+	g := newTestGate(1)
+	g.settings.QueueShare = 3
+	g.learn("k", 10*time.Millisecond)
+	g.Offer(work("running", start), start)
+	order := []Work{work("low", start), work("high", start), work("call", start)}
+	order[0].Rank, order[1].Rank, order[2].Rank = 2, 0, 1
+	order[2].Kind, order[2].Caller = "call", "caller"
+	for range enoughCalls {
+		g.callers.nested("call", "caller")
+	}
+	for _, kind := range []string{"k", "call"} {
+		g.learn(kind, 10*time.Millisecond)
+	}
+	tickets := make([]*Ticket, len(order))
+	for i, w := range order {
+		tickets[i] = g.Offer(w, start).Wait
+		if tickets[i] == nil {
+			t.Fatalf("%s does not wait", w.ID)
+		}
+	}
+	for _, want := range []int{2, 1, 0} {
+		g.Done(work("x", start), 10*time.Millisecond, false, start)
+		select {
+		case refused := <-tickets[want].Result:
+			if refused != "" {
+				t.Fatalf("%s refused: %s", order[want].ID, refused)
+			}
+		default:
+			t.Fatalf("%s is not the next", order[want].ID)
+		}
+	}
+}
+
+// A burst above capacity: who can't be served in time is told so at once,
+// rather than after a wait.
+func TestBurstIsRefusedAtOnceWithTimeToComeBack(t *testing.T) {
+	g := newTestGate(4)
+	for range 50 {
+		g.learn("k", 200*time.Millisecond)
+	}
+	refusedAtOnce := 0
+	for i := range 100 {
+		d := g.Offer(work(fmt.Sprint(i), start), start)
+		if d.Refused == RefusedFull {
+			refusedAtOnce++
+			if d.RetryAfter < minRetryAfter {
+				t.Fatalf("to come back after %v", d.RetryAfter)
+			}
+		}
+	}
+	if refusedAtOnce < 100-4-4-16 {
+		t.Fatalf("%d refused at once", refusedAtOnce)
+	}
+	if waiting := g.State(start).Waiting; waiting > 16 {
+		t.Fatalf("%d wait at 4 slots and 200 ms each, due in a second", waiting)
+	}
+}
+
+// A retry storm: repeats of requests that have run stay under their part of the
+// budget, so that the calls that they make again keep the called service's.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newTestGate(1000)
+		g.SetPeers(2)
+		now := start
+		type event struct {
+			at            time.Time
+			repeat, rerun bool
+		}
+		var events []event
+		for i := range 400 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			w := work(fmt.Sprint(i), now)
+			w.Repeat = rapid.Bool().Draw(t, "repeat")
+			w.Rerun = w.Repeat && rapid.Bool().Draw(t, "rerun")
+			if g.Offer(w, now).Passed() {
+				events = append(events, event{now, w.Repeat, w.Rerun})
+				g.Done(w, time.Millisecond, false, now)
+			}
+		}
+		for i, last := range events {
+			firsts, repeats, reruns := 0, 0, 0
+			for _, e := range events[:i+1] {
+				if last.at.Sub(e.at) >= 10*time.Second {
+					continue
+				}
+				switch {
+				case e.rerun:
+					repeats++
+					reruns++
+				case e.repeat:
+					repeats++
+				default:
+					firsts++
+				}
+			}
+			allowed := 0.2*float64(firsts) + 10.0/2
+			if last.repeat && float64(repeats) > allowed {
+				t.Fatalf("%d repeats to %d firsts, allowed %v", repeats, firsts, allowed)
+			}
+			if last.rerun && float64(reruns) > rerunShare*allowed {
+				t.Fatalf("%d reruns to %d firsts, allowed %v", reruns, firsts, rerunShare*allowed)
+			}
+		}
+	})
+}
+
+func TestRequestThatMustNotRunTwicePassesOnce(t *testing.T) {
+	g := newTestGate(4)
+	w := work("once", start)
+	w.Once = true
+	if !g.Offer(w, start).Passed() {
+		t.Fatal("refused at first")
+	}
+	g.Done(w, time.Millisecond, false, start)
+	if d := g.Offer(w, start.Add(time.Second)); d.Refused != RefusedTwice {
+		t.Fatalf("a second time: %q", d.Refused)
+	}
+	if g.Fence("once", start) {
+		t.Fatal("a request that ran was fenced off")
+	}
+	if !g.Fence("other", start) {
+		t.Fatal("a request that never came was not fenced off")
+	}
+	w.ID = "other"
+	if d := g.Offer(w, start); d.Refused != RefusedFenced {
+		t.Fatalf("a fenced request: %q", d.Refused)
+	}
+}
+
+func TestRefusedOnceMayComeBack(t *testing.T) {
+	g := newTestGate(1)
+	g.Offer(work("a", start), start)
+	w := work("once", start)
+	w.Once = true
+	waiting := g.Offer(w, start).Wait
+	if !g.Cancel(waiting) {
+		t.Fatal("the request does not wait")
+	}
+	g.Done(work("a", start), time.Millisecond, false, start)
+	if !g.Offer(w, start).Passed() {
+		t.Fatal("a request that never reached the target is taken for one that did")
+	}
+}
+
+func TestDownTargetIsColdUntilAChecksSaysOtherwise(t *testing.T) {
+	g := newTestGate(18)
+	g.Broke(start)
+	if d := g.Offer(work("a", start), start); d.Refused != RefusedDown {
+		t.Fatalf("refused %q", d.Refused)
+	}
+	if !g.Checked("i-1", 2*time.Second, start) {
+		t.Fatal("the check changed nothing")
+	}
+	if !g.cold(start.Add(time.Second)) || g.cold(start.Add(3*time.Second)) {
+		t.Fatal("not cold for as long as the check says")
+	}
+	if g.Checked("i-other", 0, start) {
+		t.Fatal("a check of another instance counts")
+	}
+}
+
+func TestTargetOfADataCentreThatComesBackIsCold(t *testing.T) {
+	g := newTestGate(18)
+	g.SetOut(true, start)
+	if d := g.Offer(work("a", start), start); d.Refused != RefusedOut {
+		t.Fatalf("refused %q", d.Refused)
+	}
+	g.SetOut(false, start)
+	if !g.cold(start) {
+		t.Fatal("not cold")
+	}
+}
+
+func TestKindsThatOneServiceAsksForAreCalls(t *testing.T) {
+	c := make(callers)
+	for i := range 400 {
+		service := fmt.Sprintf("s%d", i%4)
+		if c.nested("callers", service) {
+			t.Fatalf("after %d requests of all services: a call of targets", i)
+		}
+		nested := c.nested("calls", "s1")
+		if i >= enoughCalls && !nested {
+			t.Fatalf("after %d requests of one service: not a call of targets", i)
+		}
+	}
+}
