Keep slots for calls of targets

Calls now have slots kept and are judged by their deadline. Ruled out: the target itself, which was not full.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -24,6 +24,8 @@
 	slotShare = 1.0
 	// queueShare bounds a target's queue as a share of its slots.
 	queueShare = 1.0
+	// callShare is the share of a target's slots kept for calls of targets.
+	callShare = 0.15
 	// rememberIDs is how long the ids of requests that must not run twice are
 	// kept: longer than any hop may take to arrive.
 	rememberIDs = 15 * time.Second
@@ -70,7 +72,7 @@
 	n.fleet = fleet.NewTable(fleet.Settings{SilentAfter: silentAfter, ForgetAfter: forgetAfter, AvoidFor: avoidFor})
 	n.config = newConfigState(n.configChanged)
 	n.guard = newGuard(n, gate.Settings{
-		SlotShare: slotShare, QueueShare: queueShare, Remember: rememberIDs,
+		SlotShare: slotShare, QueueShare: queueShare, CallShare: callShare, Remember: rememberIDs,
 		Repeats: settings.Limits.repeats(),
 	})
 	n.health = newHealthChecker(n)
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -84,11 +84,16 @@
 
 func TestSilentStoppingClosedAndFailedPeersAreNoCandidates(t *testing.T) {
 	for name, spoil := range map[string]func(table *Table) time.Time{
-		"silent":   func(*Table) time.Time { return start.Add(1100 * time.Millisecond) },
-		"stopping": func(t *Table) time.Time { s := status("a", 1, 2); s.Stopping = true; t.Merge(s, "c", start); return start },
-		"closed":   func(t *Table) time.Time { s := status("a", 1, 2); s.Open = false; t.Merge(s, "c", start); return start },
-		"refusal":  func(t *Table) time.Time { t.Observe("a", Load{}, start); return start },
-		"failed":   func(t *Table) time.Time { t.Failed("a", start); return start.Add(100 * time.Millisecond) },
+		"silent": func(*Table) time.Time { return start.Add(1100 * time.Millisecond) },
+		"stopping": func(t *Table) time.Time {
+			s := status("a", 1, 2)
+			s.Stopping = true
+			t.Merge(s, "c", start)
+			return start
+		},
+		"closed":  func(t *Table) time.Time { s := status("a", 1, 2); s.Open = false; t.Merge(s, "c", start); return start },
+		"refusal": func(t *Table) time.Time { t.Observe("a", Load{}, start); return start },
+		"failed":  func(t *Table) time.Time { t.Failed("a", start); return start.Add(100 * time.Millisecond) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := newTestTable()
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -13,6 +13,8 @@
 	SlotShare float64
 	// QueueShare bounds the queue as a share of the slots.
 	QueueShare float64
+	// CallShare is the share of the slots that is kept for calls of targets.
+	CallShare float64
 	// Repeats bounds the sends beyond the first.
 	Repeats RepeatBudget
 	// Remember is how long the ids of requests that must not run twice are kept.
@@ -28,6 +30,9 @@
 	paceWeight = 0.1
 	// defaultPace stands in for the run time of a kind that has not run yet.
 	defaultPace = 100 * time.Millisecond
+	// nestedMemory is how long slots are kept for calls of targets after the last
+	// one came.
+	nestedMemory = 5 * time.Second
 	// minRetryAfter is the shortest time that a refused caller is sent away for.
 	minRetryAfter = 50 * time.Millisecond
 	// downRetryAfter is when to come back to a target that can't be reached,
@@ -67,6 +72,8 @@
 
 	seen    map[string]trace
 	callers callers
+	// nestedAt is when a call of a target came last.
+	nestedAt time.Time
 }
 
 // trace is what is remembered of a request that must not run twice.
@@ -126,7 +133,10 @@
 		g.seen[work.ID] = trace{at: now}
 	}
 	work.nested = g.callers.nested(work.Kind, work.Caller)
-	if len(g.queue) == 0 && g.room(now) {
+	if work.nested {
+		g.nestedAt = now
+	}
+	if len(g.queue) == 0 && g.room(work, now) {
 		g.pass(work, now)
 		return Decision{}
 	}
@@ -190,9 +200,22 @@
 // coldLimit returns how many requests a cold target may get in a second.
 func (g *Gate) coldLimit() int { return max(1, int(g.coldRate)) }
 
-// room reports whether one more request may start now.
-func (g *Gate) room(now time.Time) bool {
-	if g.running >= g.Limit() {
+// reserve returns how many slots are kept for calls of targets. A call that is
+// refused spoils the run that waits for it, and most calls are short.
+func (g *Gate) reserve(now time.Time) int {
+	if g.nestedAt.IsZero() || now.Sub(g.nestedAt) > nestedMemory {
+		return 0
+	}
+	return int(math.Ceil(g.settings.CallShare * float64(g.Limit())))
+}
+
+// room reports whether the request may start now.
+func (g *Gate) room(work Work, now time.Time) bool {
+	limit := g.Limit()
+	if !work.nested {
+		limit = max(1, limit-g.reserve(now))
+	}
+	if g.running >= limit {
 		return false
 	}
 	return !g.cold(now) || g.arrivals.count(now) < g.coldLimit()
@@ -244,7 +267,7 @@
 	for i := len(g.queue) - 1; i >= 0; i-- {
 		ticket := g.queue[i]
 		start := now.Add(g.wait(i, now))
-		if i < limit && !start.Add(g.pace(ticket.Work.Kind)).After(ticket.Work.Due) {
+		if i < limit && !start.Add(g.pace(ticket.Work.Kind)).After(ticket.Work.latest()) {
 			continue
 		}
 		g.queue = slices.Delete(g.queue, i, i+1)
@@ -357,7 +380,7 @@
 		g.refuseAll(refused, after)
 		return
 	}
-	for len(g.queue) > 0 && g.room(now) {
+	for len(g.queue) > 0 && g.room(g.queue[0].Work, now) {
 		ticket := g.queue[0]
 		g.queue = slices.Delete(g.queue, 0, 1)
 		if !ticket.Work.Deadline.After(now) {
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -348,3 +348,32 @@
 		}
 	}
 }
+
+// Long searches fill a target that others also call while they run: the calls
+// still find a slot at once, since a refused one spoils the run behind it.
+func TestCallsOfTargetsFindRoomBesideLongRuns(t *testing.T) {
+	g := newTestGate(18)
+	g.settings.CallShare = 0.15
+	for i := range enoughCalls + 1 {
+		w := work(fmt.Sprint("warm", i), start)
+		w.Kind, w.Caller = "call", "parents"
+		g.Offer(w, start)
+		g.Done(w, 40*time.Millisecond, false, start)
+	}
+	for i := range 60 {
+		w := work(fmt.Sprint("search", i), start)
+		w.Kind, w.Caller = "search", fmt.Sprintf("s%d", i%4)
+		g.Offer(w, start)
+	}
+	if running := g.State(start).Running; running != 15 {
+		t.Fatalf("%d long runs at 18 slots", running)
+	}
+	w := work("call", start)
+	w.Kind, w.Caller = "call", "parents"
+	if d := g.Offer(w, start); d.Wait == nil && !d.Passed() {
+		t.Fatalf("a call is refused: %s", d.Refused)
+	}
+	if running := g.State(start).Running; running != 16 {
+		t.Fatal("the call waits behind long runs")
+	}
+}
--- a/process/gate/work.go
+++ b/process/gate/work.go
@@ -31,6 +31,15 @@
 	nested bool
 }
 
+// latest returns when an answer is of no use any more. The run that waits for a
+// call goes on until its own deadline.
+func (w *Work) latest() time.Time {
+	if w.nested {
+		return w.Deadline
+	}
+	return w.Due
+}
+
 // Refusal says why a request may not pass.
 type Refusal string
 
