Spare targets that slow down when full their last slots; use more of the cold bound

A gate compares low quantiles of run times beside few and beside many others; a target that does less altogether with all its slots gets 0.8 of them. Nodes tell each other, so that services of which little is known learn it too. A cold target gets 1.4 of its stated rate; 1.5 and a slack are allowed.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -32,6 +32,8 @@
 	// must not run twice: the target may close an idle one at any moment, and a
 	// request that meets the close is lost.
 	onceIdle = time.Second
+	// coldUse is the part of a cold target's bound that is used.
+	coldUse = 0.93
 	// spareConnections of the target's limit stay unused, for connections that
 	// the target has not seen closed yet.
 	spareConnections = 8
@@ -297,7 +299,7 @@
 	state := g.gate.State(now)
 	if table.routes != nil {
 		if facts, ok := table.routes.Service(state.Service); ok {
-			g.gate.Configure(facts.ColdPerSecond, facts.ColdFor)
+			g.gate.Configure(facts.ColdPerSecond*g.node.settings().Limits.ColdFactor*coldUse, facts.ColdFor)
 		}
 	}
 	g.gate.SetOut(table.isOut(g.node.settings().DataCentre), now)
@@ -309,7 +311,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	service := g.gate.State(now).Service
-	g.gate.SetPeers(1 + g.node.fleet.Targets(service, now))
+	g.gate.SetOthers(g.node.fleet.Others(service, now))
 	g.gate.Tick(now)
 	if g.pool != nil {
 		g.pool.Sweep(now)
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// slotShare is the share of a target's slots that is used at once.
-	slotShare = 1.0
 	// queueShare bounds a target's queue as a share of its slots.
 	queueShare = 1.0
 	// callShare is the share of a target's slots kept for calls of targets.
@@ -72,7 +70,7 @@
 	n.fleet = fleet.NewTable(fleet.Settings{SilentAfter: silentAfter, ForgetAfter: forgetAfter, AvoidFor: avoidFor})
 	n.config = newConfigState(n.configChanged)
 	n.guard = newGuard(n, gate.Settings{
-		SlotShare: slotShare, QueueShare: queueShare, CallShare: callShare, Remember: rememberIDs,
+		QueueShare: queueShare, CallShare: callShare, Remember: rememberIDs,
 		Repeats: settings.Limits.repeats(),
 	})
 	n.health = newHealthChecker(n)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -132,7 +132,7 @@
 // sameButLoad reports whether two statuses of this node differ in load only.
 func sameButLoad(a, b *fleet.Status) bool {
 	return a.Instance == b.Instance && a.Open == b.Open && a.Stopping == b.Stopping &&
-		a.Service == b.Service && a.ReachesStore == b.ReachesStore && a.Slots == b.Slots && a.ConfigNumber == b.ConfigNumber &&
+		a.Service == b.Service && a.ReachesStore == b.ReachesStore && a.SlowWhenFull == b.SlowWhenFull && a.Slots == b.Slots && a.ConfigNumber == b.ConfigNumber &&
 		slices.Equal(a.Out, b.Out) && (a.ColdLeftMillis > 0) == (b.ColdLeftMillis > 0)
 }
 
@@ -181,6 +181,7 @@
 		Service: state.Service, Instance: state.Instance, Slots: state.Slots,
 		Running: state.Running, Waiting: state.Waiting, Speed: state.Speed, Open: state.Open,
 		ColdLeftMillis: int(state.ColdLeft.Milliseconds()),
+		SlowWhenFull:   state.SlowWhenFull,
 		ReachesStore:   p.node.store.reached.Load(),
 		ConfigNumber:   table.number(), OutRevision: table.outRevision, Out: table.out,
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -56,6 +56,8 @@
 	RepeatSlack float64 `yaml:"repeat_slack"`
 	// RepeatWindowSeconds is the span in which repeated sends are counted.
 	RepeatWindowSeconds float64 `yaml:"repeat_window_s"`
+	// ColdFactor is by how much a cold target's rate may be exceeded.
+	ColdFactor float64 `yaml:"cold_factor"`
 	// StopSeconds is how long a planned stop may take.
 	StopSeconds float64 `yaml:"stop_s"`
 }
@@ -116,6 +118,8 @@
 		return errors.New("check: limits.repeat_slack is negative")
 	case s.Limits.RepeatWindowSeconds <= 0:
 		return errors.New("check: limits.repeat_window_s is not above zero")
+	case s.Limits.ColdFactor < 1:
+		return errors.New("check: limits.cold_factor is below 1")
 	case s.Limits.StopSeconds <= 0:
 		return errors.New("check: limits.stop_s is not above zero")
 	}
--- a/process/fleet/status.go
+++ b/process/fleet/status.go
@@ -43,6 +43,8 @@
 	// ReachesStore tells that the node's latest call to the platform's store
 	// succeeded.
 	ReachesStore bool
+	// SlowWhenFull tells that the target was seen to slow down when nearly full.
+	SlowWhenFull bool
 }
 
 // ColdLeft returns how much longer the target is cold.
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"verbenatrestle/process/gate"
 )
 
 // Settings of a Table.
@@ -241,18 +243,28 @@
 	return found
 }
 
-// Targets returns the number of nodes with a target of the service that were
-// heard of late.
-func (t *Table) Targets(service string, now time.Time) int {
+// Others returns what is known of the targets beside the nodes that were heard
+// of late, to the gate of a target of that service.
+func (t *Table) Others(service string, now time.Time) gate.Others {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 0
+	var others gate.Others
 	for _, p := range t.peers {
-		if p.Status.Service == service && t.heard(p, now) {
-			count++
+		if !t.heard(p, now) {
+			continue
+		}
+		if p.Status.SlowWhenFull {
+			others.AllSlowWhenFull++
+		}
+		if p.Status.Service != service {
+			continue
+		}
+		others.Targets++
+		if p.Status.SlowWhenFull {
+			others.SlowWhenFull++
 		}
 	}
-	return count
+	return others
 }
 
 // ReachStore returns the number of nodes in reach that reach the platform's
--- /dev/null
+++ b/process/gate/crowding.go
@@ -0,0 +1,122 @@
+package gate
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crowdedFrom is the share of the slots above which some targets slow down.
+	crowdedFrom = 0.8
+	// roomyTo is the share of the slots up to which a run counts as one beside
+	// few others.
+	roomyTo = 0.6
+	// crowdQuantile is the quantile of run times that is compared: low enough to
+	// leave out runs that waited for calls or for a slow spell of the VM.
+	crowdQuantile = 0.1
+	// keptRuns is how many runs of either sort are kept, and enoughRuns how many
+	// a comparison takes.
+	keptRuns, enoughRuns = 128, 96
+	// compareEvery is how many crowded runs go by between two comparisons, and
+	// agreeing how many in a row have to say the same.
+	compareEvery, agreeing = 48, 2
+	// sameService and anyService are how many other targets that slow down settle
+	// it for this one as well: of its service, or of all together.
+	sameService, anyService = 2, 4
+	// slowdownSeen is the slowdown from which on a target is taken to slow down:
+	// by so much that it does less with all its slots than without the last ones,
+	// and some more, since runs wait longer for their calls when load is high.
+	slowdownSeen = 1.45
+)
+
+// runTimes keeps the latest run times, in seconds.
+type runTimes struct {
+	times []float64
+	next  int
+}
+
+func (r *runTimes) add(seconds float64) {
+	if len(r.times) < keptRuns {
+		r.times = append(r.times, seconds)
+		return
+	}
+	r.times[r.next] = seconds
+	r.next = (r.next + 1) % keptRuns
+}
+
+// low returns the low quantile that is compared.
+func (r *runTimes) low() float64 {
+	sorted := slices.Sorted(slices.Values(r.times))
+	return sorted[int(float64(len(sorted))*crowdQuantile)]
+}
+
+// crowding learns by how much a target slows down when nearly all its slots
+// are taken, by kind of request.
+type crowding struct {
+	roomy, crowded map[string]*runTimes
+	// runs counts crowded runs, and seen the comparisons in a row that found the
+	// target slower.
+	runs, seen int
+	// found tells that the target was seen to slow down, and told that others
+	// were.
+	found, told bool
+}
+
+func newCrowding() crowding {
+	return crowding{roomy: make(map[string]*runTimes), crowded: make(map[string]*runTimes)}
+}
+
+// ran takes in a run that ended, and how many of the slots were taken then.
+func (c *crowding) ran(kind string, took time.Duration, running, slots int) {
+	share := float64(running) / float64(max(1, slots))
+	switch {
+	case share <= roomyTo:
+		note(c.roomy, kind, took)
+	case share > crowdedFrom:
+		note(c.crowded, kind, took)
+		c.runs++
+		if c.runs%compareEvery == 0 {
+			c.compare()
+		}
+	}
+}
+
+func (c *crowding) compare() {
+	if c.slowdown() <= slowdownSeen {
+		c.seen = 0
+		return
+	}
+	c.seen++
+	c.found = c.found || c.seen >= agreeing
+}
+
+// spared reports whether the target is spared the last slots.
+func (c *crowding) spared() bool { return c.found || c.told }
+
+func note(runs map[string]*runTimes, kind string, took time.Duration) {
+	times := runs[kind]
+	if times == nil {
+		if len(runs) >= maxKinds {
+			return
+		}
+		times = &runTimes{}
+		runs[kind] = times
+	}
+	times.add(took.Seconds())
+}
+
+// slowdown returns the factor by which runs take longer at a crowded target,
+// for the kind of which most is known, or 1.
+func (c *crowding) slowdown() float64 {
+	factor, most := 1.0, 0
+	for kind, crowded := range c.crowded {
+		roomy := c.roomy[kind]
+		if roomy == nil || len(roomy.times) < enoughRuns || len(crowded.times) < enoughRuns {
+			continue
+		}
+		if known := len(roomy.times) + len(crowded.times); known > most {
+			factor, most = crowded.low()/roomy.low(), known
+		}
+	}
+	return factor
+}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -8,9 +8,6 @@
 
 // Settings of a Gate.
 type Settings struct {
-	// SlotShare is the share of a target's slots that is used. Targets slow down
-	// when they are nearly full.
-	SlotShare float64
 	// QueueShare bounds the queue as a share of the slots.
 	QueueShare float64
 	// CallShare is the share of the slots that is kept for calls of targets.
@@ -72,6 +69,9 @@
 
 	seen    map[string]trace
 	callers callers
+	// crowding tells whether the target slows down when it is nearly full, in
+	// which case it gets fewer requests at once.
+	crowding crowding
 	// nestedAt is when a call of a target came last.
 	nestedAt time.Time
 }
@@ -95,6 +95,7 @@
 		peers:    1,
 		seen:     make(map[string]trace),
 		callers:  make(callers),
+		crowding: newCrowding(),
 		departed: make(map[string]int64),
 	}
 }
@@ -191,7 +192,11 @@
 	if g.target == nil {
 		return 0
 	}
-	return max(1, int(math.Round(float64(g.target.Slots)*g.settings.SlotShare)))
+	limit := float64(g.target.Slots)
+	if g.crowding.spared() {
+		limit *= crowdedFrom
+	}
+	return max(1, int(limit))
 }
 
 // cold reports whether the target is cold.
@@ -317,10 +322,11 @@
 // Done ends a request that reached the target. Took is how long it ran; a
 // failed one says nothing about the pace.
 func (g *Gate) Done(work Work, took time.Duration, failed bool, now time.Time) {
-	g.ended(work)
 	if !failed {
 		g.learn(work.Kind, took)
+		g.crowding.ran(work.Kind, took, g.running, g.target.Slots)
 	}
+	g.ended(work)
 	g.advance(now)
 }
 
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -14,7 +16,7 @@
 
 func newTestGate(slots int) *Gate {
 	g := New(Settings{
-		SlotShare: 1, QueueShare: 1, Remember: 10 * time.Second,
+		QueueShare: 1, Remember: 10 * time.Second,
 		Repeats: RepeatBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
 	})
 	g.Reported(Report{Instance: "i-1", Service: "s", Address: "10.0.0.1:1", Slots: slots, Sequence: 1, Born: 1000}, start)
@@ -224,7 +226,7 @@
 func TestRepeatsStayWithinTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := newTestGate(1000)
-		g.SetPeers(2)
+		g.SetOthers(Others{Targets: 1})
 		now := start
 		type event struct {
 			at            time.Time
@@ -377,3 +379,52 @@
 		t.Fatal("the call waits behind long runs")
 	}
 }
+
+// Load rises until all slots are taken: a target that then works so much slower
+// that it does less altogether gets fewer requests at once, another one does
+// not, though its runs wait for calls that take longer under load. The times
+// scatter, so some targets may be mistaken.
+func TestTargetThatSlowsDownWhenFullIsSparedTheLastSlots(t *testing.T) {
+	const targets, mistaken = 100, 5
+	for name, test := range map[string]struct {
+		factor float64
+		want   int
+	}{
+		"slows down":       {1.7, 14},
+		"keeps its speed":  {1, 18},
+		"slows down a bit": {1.1, 18},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wrong := 0
+			for seed := range uint64(targets) {
+				if limitAfterLoad(rand.New(rand.NewPCG(seed, 1)), test.factor) != test.want {
+					wrong++
+				}
+			}
+			if wrong > mistaken {
+				t.Fatalf("%d of %d targets mistaken", wrong, targets)
+			}
+		})
+	}
+}
+
+// limitAfterLoad returns the limit of a gate after 3,000 runs at random load,
+// which take longer by factor when more than 14 of 18 slots are taken.
+func limitAfterLoad(rng *rand.Rand, factor float64) int {
+	g := newTestGate(18)
+	for range 3000 {
+		g.running = 1 + rng.IntN(g.Limit())
+		took := 0.16 * math.Exp(0.3*rng.NormFloat64())
+		if rng.Float64() < 0.3 {
+			took += 0.3
+		}
+		if g.running > 14 {
+			took *= factor
+			if rng.Float64() < 0.5 {
+				took += 0.05
+			}
+		}
+		g.Done(work("x", start), time.Duration(took*float64(time.Second)), false, start)
+	}
+	return g.Limit()
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -20,6 +20,8 @@
 	Open bool
 	// ColdLeft is how much longer the target is cold.
 	ColdLeft time.Duration
+	// SlowWhenFull tells that the target was seen to slow down when nearly full.
+	SlowWhenFull bool
 }
 
 // State returns the present state.
@@ -37,6 +39,8 @@
 		Speed:    g.speed,
 		Open:     !g.Leaving() && !g.down && !g.out,
 		ColdLeft: max(0, g.coldUntil.Sub(now)),
+
+		SlowWhenFull: g.crowding.found,
 	}
 }
 
@@ -154,9 +158,21 @@
 	g.firsts.span, g.repeats.span, g.reruns.span = budget.Window, budget.Window, budget.Window
 }
 
-// SetPeers sets the number of targets of the service, which share its budget
-// of repeats.
-func (g *Gate) SetPeers(targets int) { g.peers = max(1, targets) }
+// Others is what is known of the targets beside other nodes.
+type Others struct {
+	// Targets is the number of those of the same service, which share its budget
+	// of repeats.
+	Targets int
+	// SlowWhenFull is how many of those were seen to slow down when nearly full,
+	// and AllSlowWhenFull how many of all services.
+	SlowWhenFull, AllSlowWhenFull int
+}
+
+// SetOthers takes in what is known of the targets beside other nodes.
+func (g *Gate) SetOthers(o Others) {
+	g.peers = o.Targets + 1
+	g.crowding.told = o.SlowWhenFull >= sameService || o.AllSlowWhenFull >= anyService
+}
 
 // Leaving reports whether the target has begun to leave.
 func (g *Gate) Leaving() bool {
