Place requests by the time that their run takes

Requests run side by side, so those ahead cost little while slots are free, and a slow spell mostly ends before the run does; the product of both overrated queues and sent work to slow idle targets.

--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -3,24 +3,30 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"verbenatrestle/process/fleet"
 )
 
+// Costs of a candidate, in run times of a request.
 const (
 	// usualSpeed is the speed figure of a target that is not slowed down.
 	usualSpeed = 100
-	// remoteCost is what a hop to another data centre adds to the score, as a
-	// share of one request's work. It settles ties in favour of the own one.
-	remoteCost = 0.15
-	// crowded is the share of the slots from which on targets slow down.
-	crowded = 0.8
-	// crowdCost multiplies the score of a crowded target.
-	crowdCost = 1.5
-	// coldCost multiplies the score of a cold target: it works slower and takes
-	// few requests.
-	coldCost = 3.0
+	// slowCost is what a target costs that works at five times the usual time. A
+	// slow spell mostly ends before the run does.
+	slowCost = 0.5
+	// slowSpan is the rise of the speed figure that costs slowCost.
+	slowSpan = 400
+	// loadCost is what a target costs whose slots are all taken: it spreads the
+	// load, and makes up for figures that are late.
+	loadCost = 0.3
+	// crowdedFrom is the share of the slots from which on crowdCost comes on top,
+	// since some targets slow down, and a few more requests would have to wait.
+	crowdedFrom = 0.8
+	crowdCost   = 0.3
+	// coldCost is what a cold target costs: it is slower and takes few requests.
+	coldCost = 0.8
+	// remoteCost is what a target in another data centre costs.
+	remoteCost = 0.06
 )
 
 // Asker is the node that chooses.
@@ -53,19 +59,26 @@
 	return best
 }
 
-// Score is the expected cost of a request at the candidate. Lower is better.
+// Score is the expected cost of a request at the candidate, in run times.
+// Requests run side by side, so those ahead cost little while there are slots.
+// Lower is better.
 func Score(c *fleet.Candidate, asker Asker) float64 {
-	speed := float64(max(c.Speed, 1)) / usualSpeed
-	ahead := float64(c.Running + c.Waiting + c.InFlight)
-	score := (ahead + 1) * speed
-	if c.Slots > 0 && ahead+1 > crowded*float64(c.Slots) {
-		score *= crowdCost
+	slots := float64(max(c.Slots, 1))
+	load := float64(c.Running+c.Waiting+c.InFlight+1) / slots
+	score := loadCost * min(load, 1)
+	if load > crowdedFrom {
+		score += crowdCost
 	}
-	if c.ColdLeft > time.Duration(0) {
-		score *= coldCost
+	if load > 1 {
+		score += load - 1
+	}
+	slow := float64(max(c.Speed-usualSpeed, 0)) / slowSpan
+	score += slowCost * slow * max(load, 1)
+	if c.ColdLeft > 0 {
+		score += coldCost
 	}
 	if c.DataCentre != asker.DataCentre {
-		score += remoteCost * speed
+		score += remoteCost
 	}
 	return score
 }
