--- a/gateway/store.go
+++ b/gateway/store.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"verbenatrestle/internal/wait"
 	"verbenatrestle/platform"
+	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/journal"
 	store "verbenatrestle/process/platform"
 )
@@ -32,6 +34,10 @@
 	// readsPerList is how many reads of the configuration go by for each list of
 	// the data centres that are out, which has more time to take effect.
 	readsPerList = 2
+	// watchers is how many nodes keep watches. The others hear from them.
+	watchers = 3
+	// dutyEvery is the time between two looks at who keeps watches.
+	dutyEvery = 500 * time.Millisecond
 	// relistEvery is the mean time between two lists of what is watched.
 	relistEvery = 5 * time.Minute
 	// storeBackoff and storeBackoffCap bound the delays after failed calls. A
@@ -83,25 +89,14 @@
 
 // watcher returns a watcher of the objects with a prefix.
 func (s *storeSync) watcher(prefix string, handle func(store.Update)) *store.Watcher {
-	down := false
 	return &store.Watcher{
 		Client: s.client,
 		Prefix: prefix,
 		Handle: func(u store.Update) {
-			if down {
-				down = false
-				s.node.events.log(journal.Change, "dependency_back", "dependency", "store", "watch", prefix, "revision", u.Revision)
-			}
-			s.reached.Store(true)
+			s.note(nil)
 			handle(u)
 		},
-		Failed: func(err error) {
-			s.reached.Store(errors.Is(err, store.ErrCompacted))
-			if !down {
-				down = true
-				s.node.events.log(journal.Change, "dependency_lost", "dependency", "store", "watch", prefix, "err", err)
-			}
-		},
+		Failed:      s.note,
 		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Wait:        watchWait,
 		RelistEvery: relistEvery,
@@ -112,29 +107,58 @@
 
 // run follows the store until the context ends.
 func (s *storeSync) run(ctx context.Context) {
-	go s.watcher(platform.PrefixConfig, s.learnConfig).Run(ctx)
-	go s.watcher(platform.PrefixOut, s.learnOut).Run(ctx)
 	go s.readInTurn(ctx)
+	go s.watchOnDuty(ctx)
 	s.followNodes(ctx)
 }
 
-// readInTurn reads what is in force now and then. The more nodes reach the
-// store, the more seldom each of them reads.
+func (s *storeSync) duty() fleet.StoreDuty {
+	return s.node.fleet.StoreDuty(s.node.settings().Name, s.reached.Load(), watchers, time.Now())
+}
+
+// readInTurn reads what is in force now and then. The more nodes take turns,
+// the more seldom each of them reads. It begins at once.
 func (s *storeSync) readInTurn(ctx context.Context) {
-	for reads := 1; ; reads++ {
-		readers := 1 + s.node.fleet.ReachStore(time.Now())
-		pause := time.Duration(float64(readEvery) * float64(readers) * (0.5 + rand.Float64()))
-		if !s.reached.Load() {
-			pause = min(pause, readEvery)
+	for reads := 0; ; reads++ {
+		err := s.readConfig(ctx)
+		if err == nil && reads%readsPerList == 0 {
+			err = s.listOut(ctx)
 		}
+		s.note(err)
+		pause := time.Duration(float64(readEvery) * float64(s.duty().Readers) * (0.5 + rand.Float64()))
 		if !wait.For(ctx, pause) {
 			return
 		}
-		err := s.readConfig(ctx)
-		if err == nil && reads%readsPerList == 0 {
-			err = s.listOut(ctx)
+	}
+}
+
+// note takes in whether the store can be reached, and logs when that changes.
+func (s *storeSync) note(err error) {
+	reaches := err == nil || errors.Is(err, store.ErrCompacted)
+	if s.reached.Swap(reaches) == reaches {
+		return
+	}
+	if reaches {
+		s.node.events.log(journal.Change, "dependency_back", "dependency", "store")
+		return
+	}
+	s.node.events.log(journal.Change, "dependency_lost", "dependency", "store", "err", err)
+}
+
+// watchOnDuty keeps watches while the node is one of those that do.
+func (s *storeSync) watchOnDuty(ctx context.Context) {
+	for wait.For(ctx, dutyEvery) {
+		if !s.duty().Watch {
+			continue
+		}
+		watching, stop := context.WithCancel(ctx)
+		var group sync.WaitGroup
+		group.Go(func() { s.watcher(platform.PrefixConfig, s.learnConfig).Run(watching) })
+		group.Go(func() { s.watcher(platform.PrefixOut, s.learnOut).Run(watching) })
+		for s.duty().Watch && wait.For(ctx, dutyEvery) {
 		}
-		s.reached.Store(err == nil)
+		stop()
+		group.Wait()
 	}
 }
 
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -267,18 +267,40 @@
 	return others
 }
 
-// ReachStore returns the number of nodes in reach that reach the platform's
-// store.
-func (t *Table) ReachStore(now time.Time) int {
+// StoreDuty is a node's part in following the platform's store for the fleet.
+type StoreDuty struct {
+	// Readers is the number of nodes that take turns to read.
+	Readers int
+	// Watch tells that the node is one of the few that keep watches.
+	Watch bool
+}
+
+// StoreDuty returns the part of the node of that name, which itself reaches
+// the store or not. Those that reach it share the work, the first by name keep
+// watches. If none does, all take turns to try.
+func (t *Table) StoreDuty(name string, reaches bool, watchers int, now time.Time) StoreDuty {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 0
-	for _, p := range t.peers {
-		if p.Status.ReachesStore && t.reachable(p, now) {
-			count++
+	near, reaching, before := 1, 0, 0
+	for other, p := range t.peers {
+		if !t.reachable(p, now) {
+			continue
 		}
+		near++
+		if p.Status.ReachesStore {
+			reaching++
+			if other < name {
+				before++
+			}
+		}
+	}
+	if reaches {
+		return StoreDuty{Readers: reaching + 1, Watch: before < watchers}
+	}
+	if reaching == 0 {
+		return StoreDuty{Readers: near}
 	}
-	return count
+	return StoreDuty{Readers: reaching}
 }
 
 // Peers returns copies of all peers, by name. Those silent for too long are
