Deliver a target's answer when the retry after it is refused

An idempotent request whose target failed was tried again; when the retry was refused, the caller got 502 in place of the target's own answer. A spent budget now ends the attempts.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -45,7 +45,8 @@
 	retryAfter time.Duration
 }
 
-// do makes attempts until one is final.
+// do makes attempts until one is final. A target's answer, though it tells of a
+// failure, goes before a refusal that came after it.
 func (d *dispatch) do(ctx context.Context) result {
 	d.order.service = d.choosePart()
 	last := refused("no-target", noTargetAfter)
@@ -54,8 +55,11 @@
 		if !ok {
 			break
 		}
-		last = d.attempt(ctx, &candidate)
-		if !d.again(ctx, &last) {
+		r := d.attempt(ctx, &candidate)
+		if r.answer != nil || last.answer == nil {
+			last = r
+		}
+		if !d.again(ctx, &r) {
 			break
 		}
 	}
@@ -123,7 +127,7 @@
 	if ctx.Err() != nil || time.Until(d.order.work.Deadline) < minRetryLeft {
 		return false
 	}
-	if r.answer != nil && !r.failedRun() {
+	if r.answer != nil && !r.failedRun() || r.reason == string(gate.RefusedBudget) {
 		return false
 	}
 	ran := r.answer != nil || r.outcome != request.NotRun
