Test the gateway on loopback with stand-ins of the users' store and targets

Found and mended: answers without an id (a target's own refusals) were taken for another request's, so a 421 became a 504 after the deadline; a node that ended in a larger program kept its datagram socket.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -129,7 +129,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if request.ID == "" || answer.Header.Get(idHeader) == request.ID {
+		if belongs(answer, request.ID, idHeader) {
 			return answer, reusable, nil
 		}
 		if !reusable {
@@ -139,6 +139,13 @@
 	return nil, false, errors.Wrap(errMalformed, "too many answers to other requests")
 }
 
+// belongs reports whether an answer is the one to the request of that id. A
+// refusal may come without an id, since a target may make it unread.
+func belongs(answer *Answer, id, idHeader string) bool {
+	got := answer.Header.Get(idHeader)
+	return id == "" || got == id || got == "" && answer.Status >= http.StatusBadRequest
+}
+
 // errMalformed is the cause of errors of answers that break the protocol.
 var errMalformed = errors.New("malformed answer")
 
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -298,3 +298,14 @@
 		}
 	}
 }
+
+func TestRefusalWithoutAnIDBelongsToItsRequest(t *testing.T) {
+	p := newTestPool(script(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+	if answer, err := get(t, p, "a"); err != nil || answer.Status != http.StatusServiceUnavailable {
+		t.Fatalf("%v, %v", answer, err)
+	}
+	p = newTestPool(script(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+	if answer, err := get(t, p, "a"); err == nil {
+		t.Fatalf("a success without an id was taken: %v", answer)
+	}
+}
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenatrestle/platform"
+	"verbenatrestle/platform/standin"
+)
+
+// testFleet is a store, nodes and their targets on loopback.
+type testFleet struct {
+	t     *testing.T
+	ctx   context.Context
+	store *standin.Store
+	addr  string
+	nodes []*testNode
+}
+
+type testNode struct {
+	*Node
+	target   *standin.Target
+	settings Settings
+	log      *lockedBuffer
+	stop     context.CancelFunc
+	ended    chan struct{}
+}
+
+// lockedBuffer is a log that can be read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func freeUDPAddress(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &testFleet{t: t, ctx: ctx, store: standin.NewStore(), addr: freeAddress(t)}
+	if err := standin.Serve(ctx, f.addr, f.store); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+			n.callers.Close()
+			n.hopsIn.Close()
+		}
+		cancel()
+	})
+	return f
+}
+
+// testTarget describes the target beside a test node.
+type testTarget struct {
+	service string
+	slots   int
+	work    time.Duration
+}
+
+// add starts a node with its target.
+func (f *testFleet) add(tt testTarget) *testNode {
+	f.t.Helper()
+	name := fmt.Sprintf("n%d", len(f.nodes)+1)
+	settings := Settings{
+		Name: name, DataCentre: "z1", DataCentres: []string{"z1", "z2"}, Service: tt.service,
+		Target: freeAddress(f.t), Store: f.addr,
+		Listen: Listen{
+			Callers: freeAddress(f.t), Hop: freeAddress(f.t), Readiness: freeAddress(f.t),
+			Reports: freeAddress(f.t), Peers: freeUDPAddress(f.t), Metrics: freeAddress(f.t),
+		},
+		Limits: Limits{RepeatRatio: 0.2, RepeatSlack: 60, RepeatWindowSeconds: 10, ColdFactor: 1.5, StopSeconds: 3},
+	}
+	n := &testNode{settings: settings, log: &lockedBuffer{}, ended: make(chan struct{})}
+	n.target = standin.NewTarget(standin.TargetOptions{
+		Instance: "i-" + name, Service: tt.service, DataCentre: "z1", Slots: tt.slots, Work: tt.work,
+		ReportTo: settings.Listen.Reports, ReportEvery: 100 * time.Millisecond,
+	})
+	if err := standin.Serve(f.ctx, settings.Target, n.target); err != nil {
+		f.t.Fatal(err)
+	}
+	f.start(n)
+	go n.target.Report(f.ctx, settings.Target)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// start starts the node's process, so to speak.
+func (f *testFleet) start(n *testNode) {
+	f.t.Helper()
+	gw, err := New(n.settings, n.log)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.Node = gw
+	ctx, cancel := context.WithCancel(f.ctx)
+	n.stop = cancel
+	n.ended = make(chan struct{})
+	go func() {
+		_ = gw.Run(ctx)
+		close(n.ended)
+	}()
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not so after 15 s: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// settled waits until each node knows the configuration and all targets.
+func (f *testFleet) settled(version uint64) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		eventually(f.t, n.settings.Name+" knows configuration and targets", func() bool {
+			if n.config.table().number() != version {
+				return false
+			}
+			now := time.Now()
+			for _, other := range f.nodes {
+				if len(n.candidates(other.settings.Service, n.config.table(), now)) == 0 {
+					return false
+				}
+			}
+			return len(n.fleet.Peers(now)) == len(f.nodes)-1
+		})
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+var testClient = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}
+
+// call sends a caller's request to a node.
+func (n *testNode) call(t *testing.T, method, path, id, body string) reply {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+n.settings.Listen.Callers+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set(platform.HeaderRequestID, id)
+	r.Header.Set(platform.HeaderTimeout, "2000")
+	r.Header.Set(platform.HeaderCaller, "forged")
+	response, err := testClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply{status: response.StatusCode, header: response.Header, body: string(text)}
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,432 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenatrestle/platform"
+	"verbenatrestle/platform/standin"
+)
+
+var quick = testTarget{service: "s", slots: 8, work: 5 * time.Millisecond}
+
+func TestRequestGoesThroughToTheTargetWhole(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(3, "s", "u"))
+	a, b := f.add(quick), f.add(testTarget{service: "u", slots: 8, work: time.Millisecond})
+	f.settled(3)
+	got := a.call(t, http.MethodPost, "/u/x%20y?q=1", "id-1", "hello")
+	if got.status != http.StatusOK || got.body != "POST /u/x%20y?q=1 hello" {
+		t.Fatalf("%d %q", got.status, got.body)
+	}
+	if got.header.Get(platform.HeaderRequestID) != "id-1" || got.header.Get(platform.HeaderSignature) == "" {
+		t.Fatalf("%v", got.header)
+	}
+	for name := range got.header {
+		if strings.HasPrefix(name, "Vt-") {
+			t.Errorf("the caller sees %s", name)
+		}
+	}
+	runs := b.target.Runs()
+	if len(runs) != 1 || runs[0].Caller != "s" || runs[0].ID != "id-1" {
+		t.Fatalf("%+v", runs)
+	}
+}
+
+func TestNoRouteAndNoConfiguration(t *testing.T) {
+	f := newTestFleet(t)
+	a := f.add(quick)
+	got := a.call(t, http.MethodGet, "/s/1", "id", "")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Fatalf("without a configuration: %d %v", got.status, got.header)
+	}
+	ready, err := http.Get("http://" + a.settings.Listen.Readiness + platform.PathReadiness)
+	if err != nil || ready.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("ready without a configuration: %v, %v", ready, err)
+	}
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	f.settled(1)
+	if got := a.call(t, http.MethodGet, "/other/1", "id", ""); got.status != http.StatusNotFound {
+		t.Fatalf("%d", got.status)
+	}
+}
+
+// The store's watches stay silent about a change, as they do when it drops its
+// history: the reads in turn find it.
+func TestChangeOfWhichWatchesAreSilent(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	f.add(quick)
+	f.add(quick)
+	f.settled(1)
+	f.store.SetFaults(standin.Faults{MuteWatches: true})
+	f.store.Put("config", "main", standin.ConfigOf(2, "s"))
+	f.store.Put("evacuations", "z2", []byte("{}"))
+	f.settled(2)
+	for _, n := range f.nodes {
+		eventually(t, "z2 is out", func() bool { return n.config.table().isOut("z2") })
+	}
+	f.store.Delete("evacuations", "z2")
+	for _, n := range f.nodes {
+		eventually(t, "z2 is back", func() bool { return !n.config.table().isOut("z2") })
+	}
+}
+
+// A node that can't reach the store learns of changes from its peers, also
+// when it starts anew.
+func TestNodeWithoutTheStoreLearnsFromPeers(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	f.add(quick)
+	b := f.add(quick)
+	f.settled(1)
+	b.stop()
+	<-b.ended
+	b.settings.Store = freeAddress(t)
+	f.start(b)
+	f.settled(1)
+	f.store.Put("config", "main", standin.ConfigOf(5, "s"))
+	f.settled(5)
+	f.store.Put("config", "main", standin.ConfigOf(4, "s"))
+	time.Sleep(time.Second)
+	f.settled(5)
+}
+
+func TestTargetOfADataCentreThatIsOutGetsNothing(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	f.store.Put("evacuations", "z1", []byte("{}"))
+	f.store.Put("evacuations", "elsewhere", []byte("7"))
+	eventually(t, "z1 is out", func() bool { return a.config.table().isOut("z1") })
+	if got := a.call(t, http.MethodGet, "/s/1", "id", ""); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("%d", got.status)
+	}
+	if runs := a.target.Runs(); len(runs) != 0 {
+		t.Fatalf("%+v", runs)
+	}
+	f.store.Delete("evacuations", "z1")
+	eventually(t, "z1 is back", func() bool { return a.call(t, http.MethodGet, "/s/1", "id", "").status == http.StatusOK })
+}
+
+func TestLeavingTargetGetsNothingMore(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a, b := f.add(quick), f.add(quick)
+	f.settled(1)
+	if err := a.target.ReportOnce(a.settings.Target, true); err != nil {
+		t.Fatal(err)
+	}
+	before := len(a.target.Runs())
+	for i := range 50 {
+		if got := b.call(t, http.MethodGet, "/s/1", fmt.Sprint(i), ""); got.status != http.StatusOK {
+			t.Fatalf("%d", got.status)
+		}
+	}
+	if after := len(a.target.Runs()); after != before {
+		t.Fatalf("%d requests reached the target after it had said that it leaves", after-before)
+	}
+}
+
+// The target under test runs a request and its connection breaks: a request
+// that must not run twice goes nowhere else, another one is tried again.
+func TestLostAnswers(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "once", "s"))
+	for _, service := range []string{"once", "once", "s", "s"} {
+		n := f.add(testTarget{service: service, slots: 8, work: time.Millisecond})
+		n.target.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			if strings.HasSuffix(r.URL.Path, "/lose") {
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	f.settled(1)
+	var mu sync.Mutex
+	arrivals := map[string]int{}
+	for _, n := range f.nodes {
+		n.target.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			id := r.Header.Get(platform.HeaderRequestID)
+			mu.Lock()
+			arrivals[id]++
+			first := arrivals[id] == 1
+			mu.Unlock()
+			if first && strings.HasSuffix(r.URL.Path, "/lose") {
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	a := f.nodes[0]
+	if got := a.call(t, http.MethodPost, "/once/lose", "id-once", "x"); got.status != http.StatusBadGateway {
+		t.Fatalf("a request that must not run twice: %d", got.status)
+	}
+	if got := a.call(t, http.MethodGet, "/s/lose", "id-safe", ""); got.status != http.StatusOK {
+		t.Fatalf("an idempotent request: %d", got.status)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if arrivals["id-once"] != 1 || arrivals["id-safe"] != 2 {
+		t.Fatalf("%v", arrivals)
+	}
+}
+
+// A target's own failure reaches the caller though a retry was refused.
+func TestAnswerOfATargetGoesBeforeARefusedRetry(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a, b := f.add(quick), f.add(quick)
+	f.settled(1)
+	for _, n := range f.nodes {
+		n.guard.setRepeats(Limits{RepeatWindowSeconds: 10})
+		n.target.Intercept(func(w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+			w.Header().Set(platform.HeaderSignature, "signed")
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(w, "broken")
+			return true
+		})
+	}
+	for _, n := range []*testNode{a, b} {
+		got := n.call(t, http.MethodGet, "/s/1", "id", "")
+		if got.status != http.StatusInternalServerError || got.body != "broken" || got.header.Get(platform.HeaderSignature) != "signed" {
+			t.Fatalf("%d %q", got.status, got.body)
+		}
+	}
+}
+
+func TestUnsignedAndEncodedAnswersAreNotPassedOn(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	for name, spoil := range map[string]func(http.Header){
+		"unsigned": func(h http.Header) { h.Del(platform.HeaderSignature) },
+		"encoded":  func(h http.Header) { h.Set("Content-Encoding", "gzip") },
+		"foreign":  func(h http.Header) { h.Set(platform.HeaderRequestID, "other") },
+	} {
+		a.target.Intercept(func(w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+			w.Header().Set(platform.HeaderSignature, "signed")
+			spoil(w.Header())
+			w.Header().Set("Connection", "close")
+			_, _ = io.WriteString(w, "what is this")
+			return true
+		})
+		if got := a.call(t, http.MethodGet, "/s/1", "id", ""); got.status < 500 || strings.Contains(got.body, "what") {
+			t.Errorf("%s: %d %q", name, got.status, got.body)
+		}
+	}
+}
+
+func TestAddressOfATargetThatWasReplaced(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	a.target.Intercept(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set(platform.HeaderInstance, "i-other")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return true
+	})
+	got := a.call(t, http.MethodGet, "/s/1", "id", "")
+	if got.status != http.StatusServiceUnavailable {
+		t.Fatalf("%d", got.status)
+	}
+	if !strings.Contains(a.log.String(), "target_down") && a.guard.state(time.Now()).Open {
+		t.Error("the gate is open to a target that is another one")
+	}
+}
+
+// The load on the target of a leaving caller ends at once.
+func TestCallerThatLeavesFreesTheTarget(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s", "u"))
+	f.add(quick)
+	b := f.add(testTarget{service: "u", slots: 1, work: 1500 * time.Millisecond})
+	f.settled(1)
+	client := &http.Client{Timeout: 200 * time.Millisecond}
+	r, _ := http.NewRequest(http.MethodGet, "http://"+f.nodes[0].settings.Listen.Callers+"/u/1", nil)
+	r.Host = "h"
+	r.Header.Set(platform.HeaderRequestID, "gone")
+	if _, err := client.Do(r); err == nil {
+		t.Fatal("answered")
+	}
+	eventually(t, "the slot is free", func() bool { return b.guard.state(time.Now()).Running == 0 })
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a, b := f.add(testTarget{service: "s", slots: 16, work: 400 * time.Millisecond}), f.add(quick)
+	f.settled(1)
+	var group sync.WaitGroup
+	statuses := make(chan int, 16)
+	for i := range 8 {
+		group.Go(func() { statuses <- a.call(t, http.MethodGet, "/s/1", fmt.Sprint("w", i), "").status })
+	}
+	time.Sleep(100 * time.Millisecond)
+	a.stop()
+	eventually(t, "peers know that the node stops", func() bool {
+		p, _ := b.fleet.Peer("n1")
+		return p.Status.Stopping
+	})
+	if got := a.call(t, http.MethodGet, "/s/1", "late", ""); got.status != http.StatusOK {
+		t.Errorf("a request early in the stop: %d", got.status)
+	}
+	group.Wait()
+	close(statuses)
+	for status := range statuses {
+		if status != http.StatusOK {
+			t.Errorf("a request in flight at the stop: %d", status)
+		}
+	}
+	eventually(t, "no more requests are taken", a.closing.Load)
+	got := a.call(t, http.MethodPost, "/s/1", "too-late", "x")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("a request late in the stop: %d", got.status)
+	}
+	select {
+	case <-a.ended:
+	case <-time.After(15 * time.Second):
+		t.Fatal("the node still runs")
+	}
+}
+
+func TestReportsThatNameNoTarget(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	before := a.guard.state(time.Now())
+	for _, body := range []string{
+		"", "{", `{"address":5}`,
+		`{"address":"` + a.settings.Target + `","born":1,"info":{"service":"unknown","slots":3},"status":{"state":"ready","sequence":9}}`,
+		`{"address":"10.9.9.9:1","born":9999999999999,"info":{"service":"s","slots":3},"status":{"state":"ready","sequence":9}}`,
+	} {
+		r, _ := http.NewRequest(http.MethodPut, "http://"+a.settings.Listen.Reports+platform.PathReports+"i-x", strings.NewReader(body))
+		response, err := testClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusBadRequest {
+			t.Errorf("%q: %d", body, response.StatusCode)
+		}
+	}
+	if after := a.guard.state(time.Now()); after.Instance != before.Instance {
+		t.Fatalf("the target is %s now", after.Instance)
+	}
+}
+
+const settingsText = `name: a
+data_centre: z1
+data_centres: ["z1"]
+service: s
+target: 10.0.0.1:1
+listen: {callers: "10.0.0.1:2", hop: "10.0.0.1:3", readiness: "10.0.0.1:4", reports: "10.0.0.1:5", peers: "10.0.0.1:6", metrics: "10.0.0.1:7"}
+store: 10.0.0.2:1
+limits: {repeat_ratio: 0.2, repeat_slack: 62, repeat_window_s: 10, cold_factor: 1.5, stop_s: 6}
+`
+
+func TestSettings(t *testing.T) {
+	if _, err := ParseSettings([]byte(settingsText)); err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range []struct{ old, new, field string }{
+		{"name: a", "nam: a", "nam"},
+		{"name: a\n", "", "name"},
+		{"10.0.0.1:1\n", "nowhere\n", "target"},
+		{`"10.0.0.1:6"`, `""`, "listen.peers"},
+		{"repeat_ratio: 0.2", "repeat_ratio: 2", "repeat_ratio"},
+		{"repeat_slack: 62", "repeat_slack: -1", "repeat_slack"},
+		{"repeat_window_s: 10", "repeat_window_s: 0", "repeat_window_s"},
+		{"cold_factor: 1.5", "cold_factor: 0", "cold_factor"},
+		{"stop_s: 6", "stop_s: 0", "stop_s"},
+	} {
+		_, err := ParseSettings([]byte(strings.Replace(settingsText, change.old, change.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), change.field) {
+			t.Errorf("%s: %v", change.new, err)
+		}
+	}
+}
+
+// The settings file changes, with and without a signal, rightly and wrongly.
+func TestSettingsFileThatChanges(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	text := func(ratio float64, callers string) string {
+		s := a.settings
+		return fmt.Sprintf("name: %s\ndata_centre: %s\ndata_centres: [z1, z2]\nservice: %s\ntarget: %s\nstore: %s\n"+
+			"listen: {callers: %q, hop: %q, readiness: %q, reports: %q, peers: %q, metrics: %q}\n"+
+			"limits: {repeat_ratio: %v, repeat_slack: 60, repeat_window_s: 10, cold_factor: 1.5, stop_s: 3}\n",
+			s.Name, s.DataCentre, s.Service, s.Target, s.Store, callers, s.Listen.Hop, s.Listen.Readiness,
+			s.Listen.Reports, s.Listen.Peers, s.Listen.Metrics, ratio)
+	}
+	write := func(content string) {
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(text(0.2, a.settings.Listen.Callers))
+	signals := make(chan os.Signal, 1)
+	go a.FollowSettings(f.ctx, path, signals)
+	time.Sleep(100 * time.Millisecond)
+	write(text(0.3, a.settings.Listen.Callers))
+	signals <- os.Interrupt
+	eventually(t, "the signal took effect", func() bool { return a.Node.settings().Limits.RepeatRatio == 0.3 })
+	write(text(0.4, a.settings.Listen.Callers))
+	eventually(t, "the change without a signal took effect", func() bool { return a.Node.settings().Limits.RepeatRatio == 0.4 })
+	write(text(0.5, "127.0.0.1:1"))
+	eventually(t, "a change that takes a restart is refused", func() bool { return strings.Count(a.log.String(), "reload_refused") >= 1 })
+	write("nonsense")
+	eventually(t, "nonsense is refused", func() bool { return strings.Count(a.log.String(), "reload_refused") >= 2 })
+	if ratio := a.Node.settings().Limits.RepeatRatio; ratio != 0.4 {
+		t.Fatalf("ratio %v", ratio)
+	}
+	if got := a.call(t, http.MethodGet, "/s/1", "id", ""); got.status != http.StatusOK {
+		t.Fatalf("%d", got.status)
+	}
+}
+
+func TestSharesFollowTheWeights(t *testing.T) {
+	table, err := platform.DecodeRoutes([]byte(`{"version":"r1","routes":[{"name":"r","host":"h","pathPrefix":"/","trafficSplit":[{"service":"a","weight":90},{"service":"b","weight":10}]}],"services":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, counts := newShares(), map[string]int{}
+	for range 100 {
+		counts[s.next(table.Route("h", "/"))]++
+	}
+	if counts["a"] < 88 || counts["a"] > 92 {
+		t.Fatalf("%v", counts)
+	}
+}
+
+func TestHopHeadersSurviveAHop(t *testing.T) {
+	now := time.Now()
+	o := &order{}
+	o.work.Kind, o.work.Rank, o.work.Due = "k", 2, now.Add(300*time.Millisecond)
+	o.work.Repeat, o.work.Once, o.work.Rerun, o.work.Inherited = true, true, true, true
+	work, err := decodeOrder(encodeOrder(o, now), now)
+	if err != nil || work != o.work {
+		t.Fatalf("%+v, %v", work, err)
+	}
+	for _, text := range []string{"", "k;1", "k;x;1;true;true;true;true", "k;1;1;yes;true;true;true"} {
+		if _, err := decodeOrder(text, now); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -115,6 +115,9 @@
 	for _, listener := range n.listeners {
 		_ = listener.Close() // nothing waits on it
 	}
+	if n.peers.conn != nil {
+		_ = n.peers.conn.Close() // as above
+	}
 }
 
 // configChanged takes in what is newly in force.
@@ -145,8 +148,10 @@
 	n.stop()
 	n.events.log(journal.Change, "stop", "pending", n.callers.Pending()+n.hopsIn.Pending())
 	cancel()
-	group.Wait()
 	n.closeListeners()
+	n.callers.Close()
+	n.hopsIn.Close()
+	group.Wait()
 	return nil
 }
 
