Put three nodes on duty to follow the store for all

Three nodes, mixed over the data centres by a hash of their names, now read and watch; the others hear from them, and step in when one is lost.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -149,7 +149,7 @@
 	if r.err != nil {
 		f.Detail = r.err.Error()
 	}
-	if d.sends > 0 && r.outcome == request.NotRun && d.rule.Idempotent {
+	if d.ran {
 		f.Outcome = request.Unknown
 	}
 	switch {
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -27,15 +27,18 @@
 	// watchWait is how long one watch waits. The reads between nodes make up for
 	// one that fell silent.
 	watchWait = 25 * time.Second
-	// readEvery is the time between two reads of the configuration by any node of
-	// the fleet, since a watch may stay silent about a change. Each node reads
-	// in its turn and tells the others what is new.
-	readEvery = 700 * time.Millisecond
+	// readEvery is the time between two reads of the configuration by any of the
+	// nodes on duty, since a watch may stay silent about a change.
+	readEvery = 600 * time.Millisecond
+	// readOffDuty is the mean time between two reads by a node off duty, which
+	// tells whether it reaches the store.
+	readOffDuty = 20 * time.Second
 	// readsPerList is how many reads of the configuration go by for each list of
 	// the data centres that are out, which has more time to take effect.
 	readsPerList = 2
-	// watchers is how many nodes keep watches. The others hear from them.
-	watchers = 3
+	// onDuty is how many nodes follow the store for all. The others hear from
+	// them; a loss of any two at once delays nothing.
+	onDuty = 3
 	// dutyEvery is the time between two looks at who keeps watches.
 	dutyEvery = 500 * time.Millisecond
 	// relistEvery is the mean time between two lists of what is watched.
@@ -113,11 +116,11 @@
 }
 
 func (s *storeSync) duty() fleet.StoreDuty {
-	return s.node.fleet.StoreDuty(s.node.settings().Name, s.reached.Load(), watchers, time.Now())
+	return s.node.fleet.StoreDuty(s.node.settings().Name, s.reached.Load(), onDuty, time.Now())
 }
 
-// readInTurn reads what is in force now and then. The more nodes take turns,
-// the more seldom each of them reads. It begins at once.
+// readInTurn reads what is in force now and then: the nodes on duty in turns,
+// the others seldom. It begins at once.
 func (s *storeSync) readInTurn(ctx context.Context) {
 	for reads := 0; ; reads++ {
 		err := s.readConfig(ctx)
@@ -125,13 +128,29 @@
 			err = s.listOut(ctx)
 		}
 		s.note(err)
-		pause := time.Duration(float64(readEvery) * float64(s.duty().Readers) * (0.5 + rand.Float64()))
-		if !wait.For(ctx, pause) {
+		if !s.pauseReads(ctx) {
 			return
 		}
 	}
 }
 
+// pauseReads waits until the node's next read. A node that comes on duty
+// meanwhile reads at once.
+func (s *storeSync) pauseReads(ctx context.Context) bool {
+	duty := s.duty()
+	if duty.OnDuty {
+		mean := readEvery * time.Duration(duty.Sharers)
+		return wait.For(ctx, time.Duration(float64(mean)*(0.75+rand.Float64()/2)))
+	}
+	until := time.Now().Add(time.Duration(rand.ExpFloat64() * float64(readOffDuty)))
+	for time.Now().Before(until) && !s.duty().OnDuty {
+		if !wait.For(ctx, dutyEvery) {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
 // note takes in whether the store can be reached, and logs when that changes.
 func (s *storeSync) note(err error) {
 	reaches := err == nil || errors.Is(err, store.ErrCompacted)
@@ -148,20 +167,23 @@
 // watchOnDuty keeps watches while the node is one of those that do.
 func (s *storeSync) watchOnDuty(ctx context.Context) {
 	for wait.For(ctx, dutyEvery) {
-		if !s.duty().Watch {
+		if !s.watches() {
 			continue
 		}
 		watching, stop := context.WithCancel(ctx)
 		var group sync.WaitGroup
 		group.Go(func() { s.watcher(platform.PrefixConfig, s.learnConfig).Run(watching) })
 		group.Go(func() { s.watcher(platform.PrefixOut, s.learnOut).Run(watching) })
-		for s.duty().Watch && wait.For(ctx, dutyEvery) {
+		for s.watches() && wait.For(ctx, dutyEvery) {
 		}
 		stop()
 		group.Wait()
 	}
 }
 
+// watches reports whether the node is to keep watches.
+func (s *storeSync) watches() bool { return s.reached.Load() && s.duty().OnDuty }
+
 func (s *storeSync) readConfig(ctx context.Context) error {
 	object, err := s.client.Get(ctx, platform.KeyConfig)
 	if errors.Is(err, store.ErrNotFound) {
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenatrestle/process/gate"
 )
 
@@ -269,16 +271,17 @@
 
 // StoreDuty is a node's part in following the platform's store for the fleet.
 type StoreDuty struct {
-	// Readers is the number of nodes that take turns to read.
-	Readers int
-	// Watch tells that the node is one of the few that keep watches.
-	Watch bool
+	// OnDuty tells that the node is one of the few that follow the store for
+	// all, and that all of those can be counted on.
+	OnDuty bool
+	// Sharers is the number of nodes among which the work is shared.
+	Sharers int
 }
 
 // StoreDuty returns the part of the node of that name, which itself reaches
-// the store or not. Those that reach it share the work, the first by name keep
-// watches. If none does, all take turns to try.
-func (t *Table) StoreDuty(name string, reaches bool, watchers int, now time.Time) StoreDuty {
+// the store or not. The first by rank of those that reach it are on duty, up
+// to most. If none reaches it, all take turns to try.
+func (t *Table) StoreDuty(name string, reaches bool, most int, now time.Time) StoreDuty {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	near, reaching, before := 1, 0, 0
@@ -289,20 +292,23 @@
 		near++
 		if p.Status.ReachesStore {
 			reaching++
-			if other < name {
+			if dutyRank(other) < dutyRank(name) {
 				before++
 			}
 		}
 	}
-	if reaches {
-		return StoreDuty{Readers: reaching + 1, Watch: before < watchers}
-	}
-	if reaching == 0 {
-		return StoreDuty{Readers: near}
+	switch {
+	case reaches:
+		return StoreDuty{OnDuty: before < most, Sharers: min(reaching+1, most)}
+	case reaching == 0:
+		return StoreDuty{OnDuty: true, Sharers: near}
 	}
-	return StoreDuty{Readers: reaching}
+	return StoreDuty{Sharers: min(reaching, most)}
 }
 
+// dutyRank orders the nodes in a way that mixes data centres.
+func dutyRank(name string) uint64 { return xxhash.Sum64String(name) }
+
 // Peers returns copies of all peers, by name. Those silent for too long are
 // forgotten, unless they were never heard.
 func (t *Table) Peers(now time.Time) []Peer {
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -137,3 +138,43 @@
 		t.Fatalf("contact %q, hop %q after a silence", p.Contact, p.Status.Hop)
 	}
 }
+
+// However many nodes there are, and whichever of them reach the store, a few
+// are on duty, and in a fleet that is whole they agree on who.
+func TestAFewNodesFollowTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "nodes")
+		reaches := make([]bool, count)
+		reaching := 0
+		for i := range reaches {
+			reaches[i] = rapid.Bool().Draw(t, "reaches")
+			if reaches[i] {
+				reaching++
+			}
+		}
+		duties := 0
+		for i := range count {
+			table := newTestTable()
+			for j := range count {
+				if i != j {
+					s := status(fmt.Sprintf("n%02d", j), uint64(j+1), 1)
+					s.ReachesStore = reaches[j]
+					table.Merge(s, "c", start)
+				}
+			}
+			duty := table.StoreDuty(fmt.Sprintf("n%02d", i), reaches[i], 3, start)
+			if duty.OnDuty {
+				duties++
+			}
+			if want := min(3, reaching); reaching > 0 && duty.Sharers != want {
+				t.Fatalf("%d share, want %d", duty.Sharers, want)
+			}
+			if reaching == 0 && duty.Sharers != count {
+				t.Fatalf("%d share in an outage, want all %d", duty.Sharers, count)
+			}
+		}
+		if want := min(3, reaching); reaching > 0 && duties != want || reaching == 0 && duties != count {
+			t.Fatalf("%d on duty of %d that reach the store and %d in all", duties, reaching, count)
+		}
+	})
+}
