--- a/cmd/vtnode/commands.go
+++ b/cmd/vtnode/commands.go
@@ -63,6 +63,7 @@
 // checkCommand checks a settings file.
 type checkCommand struct {
 	settings string
+	serve    bool
 }
 
 // Name implements subcommands.Command.
@@ -72,15 +73,19 @@
 func (*checkCommand) Synopsis() string { return "check a settings file" }
 
 // Usage implements subcommands.Command.
-func (*checkCommand) Usage() string { return "check -settings FILE\n" }
+func (*checkCommand) Usage() string { return "check -settings FILE [-serve]\n" }
 
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.serve, "serve", false, "the settings are those of vtnode serve")
 	f.StringVar(&c.settings, "settings", "", "YAML `file` of the node's settings")
 }
 
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.serve {
+		return checkServe(c.settings)
+	}
 	settings, ok := load(c.settings)
 	if !ok {
 		return subcommands.ExitUsageError
--- a/cmd/vtnode/main.go
+++ b/cmd/vtnode/main.go
@@ -5,7 +5,8 @@
 //
 //	vtnode run -settings node.yaml
 //	vtnode serve
-//	vtnode check -settings node.yaml
+//	vtnode check -settings node.yaml [-serve]
+//	vtnode trace ID FILE...
 //
 // SIGTERM and SIGINT start a planned stop: the node hands over what it owns,
 // finishes what is in flight, and exits with 0.
@@ -28,6 +29,7 @@
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&serveCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&traceCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/cmd/vtnode/serve.go
+++ b/cmd/vtnode/serve.go
@@ -61,3 +61,14 @@
 	}
 	return subcommands.ExitSuccess
 }
+
+// checkServe checks the settings of a node on a prepared platform.
+func checkServe(path string) subcommands.ExitStatus {
+	settings, err := gateway.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vtnode:", err)
+		return subcommands.ExitUsageError
+	}
+	fmt.Printf("%s: settings of node %s are valid\n", path, settings.Name)
+	return subcommands.ExitSuccess
+}
