Add a fault soak of the real programs

Stand-ins of the users' store and targets, proxies before each node's hop listener and store, callers and a judge as processes of their own; the script draws faults by a seed, some overlapping, and lets the last seconds be calm.

--- a/cmd/vtstandin/main.go
+++ b/cmd/vtstandin/main.go
@@ -21,6 +21,9 @@
 	subcommands.Register(&targetCommand{}, "")
 	subcommands.Register(&loadCommand{}, "")
 	subcommands.Register(&oracleCommand{}, "")
+	for _, command := range soakCommands() {
+		subcommands.Register(command, "soak")
+	}
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	status := subcommands.Execute(ctx)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"net/netip"
 	"os"
 	"time"
@@ -26,6 +27,9 @@
 	Target string `yaml:"target"`
 	// Listen holds the node's addresses.
 	Listen Listen `yaml:"listen"`
+	// AdvertiseHop is where other nodes reach Listen.Hop, if that is another
+	// address. Default Listen.Hop.
+	AdvertiseHop string `yaml:"advertise_hop"`
 	// Store is where the platform's metadata store answers, "IP:port".
 	Store string `yaml:"store"`
 	// Limits hold what the platform's agreement allows.
@@ -62,6 +66,9 @@
 	StopSeconds float64 `yaml:"stop_s"`
 }
 
+// hop returns where other nodes send requests for the target.
+func (s *Settings) hop() string { return cmp.Or(s.AdvertiseHop, s.Listen.Hop) }
+
 // repeats returns the budget of repeated sends.
 func (l Limits) repeats() gate.RepeatBudget {
 	return gate.RepeatBudget{
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// drainBound is how long after its acknowledged leave a target may still get
+// requests: the users' bound.
+const drainBound = 2 * time.Second
+
+// Verdict is what a run of the soak showed.
+type Verdict struct {
+	// Sent, Answered, NotRun and Unknown count requests by what was told.
+	Sent, Answered, NotRun, Unknown int
+	// Served is the share of the requests of the calm end that were answered.
+	Served float64
+	// Broken are the promises that were not kept.
+	Broken []string
+}
+
+// Judge holds what callers were told against what targets ran. CalmFrom is the
+// Unix millisecond from which on nothing was disturbed any more.
+func Judge(told []Told, ran []Ran, calmFrom int64) Verdict {
+	v := Verdict{Sent: len(told)}
+	runs := make(map[string][]Ran)
+	for _, r := range ran {
+		runs[r.ID] = append(runs[r.ID], r)
+		if r.AckedMillis > 0 && r.AtMillis > r.AckedMillis+drainBound.Milliseconds() {
+			v.broke("drain: %s reached %s %d ms after its leave was acknowledged", r.ID, r.Instance, r.AtMillis-r.AckedMillis)
+		}
+	}
+	known := make(map[string]bool, len(told))
+	calm, calmAnswered := 0, 0
+	for i := range told {
+		t := &told[i]
+		known[t.ID] = true
+		v.request(t, runs[t.ID])
+		if t.AtMillis-t.TookMillis >= calmFrom {
+			calm++
+			if t.Status == http.StatusOK {
+				calmAnswered++
+			}
+		}
+	}
+	for id, rs := range runs {
+		if !known[id] {
+			v.broke("unasked: %s ran at %s, no caller asked for it", id, rs[0].Instance)
+		}
+	}
+	if calm > 0 {
+		v.Served = float64(calmAnswered) / float64(calm)
+	}
+	if calm < minCalm || v.Served < calmShare {
+		v.broke("recovery: %d of %d requests answered after the faults", calmAnswered, calm)
+	}
+	return v
+}
+
+const (
+	// minCalm is the least number of requests that tell of a recovery, and
+	// calmShare the least share of them that has to be answered.
+	minCalm   = 20
+	calmShare = 0.9
+)
+
+// request judges one request.
+func (v *Verdict) request(t *Told, runs []Ran) {
+	if t.Once && len(runs) > 1 {
+		v.broke("twice: %s ran %d times", t.ID, len(runs))
+	}
+	for _, r := range runs {
+		if r.Asked != t.Asked {
+			v.broke("changed: %s ran as %q, asked was %q", t.ID, r.Asked, t.Asked)
+		}
+	}
+	switch {
+	case t.Status == http.StatusOK:
+		v.Answered++
+		v.answered(t, runs)
+	case t.Status == http.StatusServiceUnavailable || t.Status == http.StatusTooManyRequests:
+		v.NotRun++
+		if t.Once && len(runs) > 0 {
+			v.broke("lied: %s was told not to have run, and ran at %s", t.ID, runs[0].Instance)
+		}
+	case t.Status == http.StatusNotFound:
+		v.broke("denied: %s got 404 from %s", t.ID, t.Node)
+	default:
+		v.Unknown++
+	}
+}
+
+// answered judges a success: it has to be the whole answer to this request.
+func (v *Verdict) answered(t *Told, runs []Ran) {
+	switch {
+	case len(runs) == 0:
+		v.broke("made up: %s was answered and never ran", t.ID)
+	case t.Body != t.Asked || t.AnswerID != t.ID || !strings.Contains(t.Signature, t.ID):
+		v.broke("mixed: %s got %q with id %q and signature %q", t.ID, t.Body, t.AnswerID, t.Signature)
+	}
+}
+
+// maxBroken bounds the broken promises that are listed.
+const maxBroken = 40
+
+func (v *Verdict) broke(format string, args ...any) {
+	if len(v.Broken) < maxBroken {
+		v.Broken = append(v.Broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// JudgeFiles is Judge of files of JSON lines.
+func JudgeFiles(toldFiles, ranFiles []string, calmFrom int64) (Verdict, error) {
+	var told []Told
+	for _, name := range toldFiles {
+		lines, err := readLines[Told](name)
+		if err != nil {
+			return Verdict{}, err
+		}
+		told = append(told, lines...)
+	}
+	var ran []Ran
+	for _, name := range ranFiles {
+		lines, err := readLines[Ran](name)
+		if err != nil {
+			return Verdict{}, err
+		}
+		ran = append(ran, lines...)
+	}
+	return Judge(told, ran, calmFrom), nil
+}
--- /dev/null
+++ b/internal/soak/record.go
@@ -0,0 +1,72 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Told is what a caller was told of one request.
+type Told struct {
+	// ID is the request's id.
+	ID string `json:"id"`
+	// Once tells that the request must not run twice.
+	Once bool `json:"once"`
+	// Asked is what the answer has to repeat.
+	Asked string `json:"asked"`
+	// Status is the HTTP status, or 0 if there was no answer.
+	Status int `json:"status"`
+	// Body and Signature are those of the answer.
+	Body      string `json:"body"`
+	Signature string `json:"signature"`
+	// AnswerID is the id in the answer.
+	AnswerID string `json:"answer_id"`
+	// Node is the address that was asked.
+	Node string `json:"node"`
+	// AtMillis is when the answer came, in Unix milliseconds.
+	AtMillis int64 `json:"at_ms"`
+	// TookMillis is how long it took.
+	TookMillis int64 `json:"took_ms"`
+	// Config is the version in force when the request was sent.
+	Config int `json:"config"`
+	// Failure is why there was no answer.
+	Failure string `json:"failure,omitempty"`
+}
+
+// Ran is one run of a request at a target.
+type Ran struct {
+	// ID is the request's id.
+	ID string `json:"id"`
+	// Instance and Service name the target.
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
+	// Asked is what was asked.
+	Asked string `json:"asked"`
+	// AtMillis is when the run began, in Unix milliseconds.
+	AtMillis int64 `json:"at_ms"`
+	// AckedMillis is when a node acknowledged that the target leaves, or zero.
+	AckedMillis int64 `json:"acked_ms"`
+}
+
+// readLines reads a file of JSON lines. A last line that was cut by a kill is
+// passed over.
+func readLines[T any](name string) ([]T, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "read records")
+	}
+	defer file.Close()
+	var all []T
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(make([]byte, 0, 64<<10), 1<<20)
+	for scanner.Scan() {
+		var one T
+		if err := json.Unmarshal(scanner.Bytes(), &one); err != nil {
+			continue
+		}
+		all = append(all, one)
+	}
+	return all, errors.Wrapf(scanner.Err(), "read records of %s", name)
+}
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,127 @@
+#!/usr/bin/env bash
+# Fault soak: real programs as separate processes, faults from outside, promises
+# judged by what callers were told and targets ran. Usage: soak.sh SEED...
+# NODES, SECONDS_LOAD and RATE size a run; OUT keeps what it wrote.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+BIN=${BIN:-bin}
+NODES=${NODES:-6}
+SECONDS_LOAD=${SECONDS_LOAD:-25}
+RATE=${RATE:-80}
+OUT=${OUT:-out/soak}
+NET=${NET:-127.7}
+SERVICES=(once-a safe-b)
+CALM=8 # seconds without faults at the end
+
+declare -A pid_of
+begin() { # NAME FILE COMMAND...: start a process, keep its id
+  local name=$1 file=$2; shift 2
+  "$@" >>"$file" 2>>"$dir/errors" &
+  pid_of[$name]=$!
+}
+end() { # NAME [SIGNAL]: end a process that this script started
+  local pid=${pid_of[$1]:-}
+  [ -n "$pid" ] && kill "-${2:-TERM}" "$pid" 2>/dev/null
+}
+control() { curl -s -m 2 -o /dev/null "$@" || true; }
+ip() { echo "$NET.$((seed % 250)).$(( $1 + 10 ))"; }
+
+settings() { # I: settings of node I on standard output
+  local a; a=$(ip "$1")
+  cat <<YAML
+name: n$1
+data_centre: z$(($1 % 3))
+data_centres: [z0, z1, z2]
+service: ${SERVICES[$(($1 % 2))]}
+target: $a:7001
+advertise_hop: $a:7013
+store: $a:7014
+listen: {callers: "$a:7002", hop: "$a:7003", readiness: "$a:7004", reports: "$a:7005", peers: "$a:7006", metrics: "$a:7007"}
+limits: {repeat_ratio: 0.2, repeat_slack: 60, repeat_window_s: 10, cold_factor: 1.5, stop_s: ${1:+4}}
+YAML
+}
+start_node() { begin "node$1" "$dir/node-$1" "$BIN/vtnode" serve -settings "$dir/settings-$1.yaml"; }
+lives=0
+start_target() {
+  lives=$((lives + 1))
+  begin "target$1" "$dir/ran-$lives" "$BIN/vtstandin" server -listen "$(ip "$1"):7001" -instance "i-$1-$lives" \
+    -service "${SERVICES[$(($1 % 2))]}" -dc "z$(($1 % 3))" -node "$(ip "$1"):7005"
+}
+config() { # VERSION: write a configuration
+  version=$1
+  local routes='' services='' s kind
+  for s in "${SERVICES[@]}"; do
+    kind=idempotent; [[ $s == once* ]] && kind=non_idempotent
+    routes+=",{\"name\":\"r-$s\",\"host\":\"h\",\"pathPrefix\":\"/$s/\",\"kind\":\"$kind\",\"timeoutS\":1.5,\"targetLatencyS\":0.5,\"priority\":1,\"service\":\"$s\",\"maxAttempts\":2}"
+    services+=",{\"name\":\"$s\",\"healthCheckPath\":\"/health\",\"maxConnections\":200,\"coldStartS\":1,\"coldPerS\":19}"
+  done
+  local spec="{\"version\":\"r$version\",\"routes\":[${routes:1}],\"services\":[${services:1}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutS\":3,\"idleTimeoutS\":15}}"
+  control -X PUT -d "{\"metadata\":{\"name\":\"main\"},\"spec\":$spec}" "http://$store/api/objects/config/main"
+}
+
+fault() { # one fault, drawn by the seed; some end by themselves, heal ends the rest
+  local i=$((RANDOM % NODES)) modes=(delay reset silence cut-in cut-out refuse) m
+  m=${modes[$((RANDOM % 6))]}
+  echo "$(date +%s.%N) fault $1 node $i $m" >>"$dir/faults"
+  case $1 in
+    hop) control "http://$(ip "$i"):7023/$m" ;;
+    store) control "http://$(ip "$i"):7024/$m" ;;
+    store_all) control -d "{\"$2\":true}" "http://$store_control/" ;;
+    kill_node) end "node$i" KILL; wait "${pid_of[node$i]}" 2>/dev/null; sleep 0.3; start_node "$i" ;;
+    stop_node) end "node$i" TERM; wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i" ;;
+    pause_node) end "node$i" STOP; sleep "0.$((RANDOM % 9 + 1))"; end "node$i" CONT ;;
+    reload) sed -i "s/repeat_slack: .*, repeat_w/repeat_slack: $((RANDOM % 50 + 30)), repeat_w/" "$dir/settings-$i.yaml"; [ $((RANDOM % 2)) = 0 ] && end "node$i" HUP ;;
+    crash_target) end "target$i" KILL; wait "${pid_of[target$i]}" 2>/dev/null; sleep 0.5; start_target "$i" ;;
+    leave_target) end "target$i" TERM; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" ;;
+    config) config $((version + RANDOM % 3 + 1)) ;;
+    out) control -X POST -d "{\"metadata\":{\"name\":\"z$((RANDOM % 3))\"},\"spec\":{}}" "http://$store/api/objects/evacuations" ;;
+  esac
+}
+heal() {
+  control -d '{}' "http://$store_control/"
+  local i
+  for ((i = 0; i < NODES; i++)); do
+    control "http://$(ip "$i"):7023/pass"; control "http://$(ip "$i"):7024/pass"
+  done
+  for i in 0 1 2; do control -X DELETE "http://$store/api/objects/evacuations/z$i"; done
+}
+
+soak() { # SEED
+  seed=$1; RANDOM=$seed; lives=0; version=1; pid_of=()
+  dir=$OUT/$seed; rm -rf "$dir"; mkdir -p "$dir"
+  store=$(ip 200):7100; store_control=$(ip 200):7101
+  begin store "$dir/store" "$BIN/vtstandin" store -listen "$store" -control "$store_control"
+  local i nodes='' kinds=(hop store store_all kill_node stop_node pause_node reload crash_target leave_target config out)
+  for ((i = 0; i < NODES; i++)); do
+    settings "$i" >"$dir/settings-$i.yaml"
+    begin "hop$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7013" -to "$(ip "$i"):7003" -control "$(ip "$i"):7023"
+    begin "link$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7014" -to "$store" -control "$(ip "$i"):7024"
+    nodes+=",$(ip "$i"):7002"
+  done
+  sleep 0.3; config 1
+  for ((i = 0; i < NODES; i++)); do start_node "$i"; start_target "$i"; done
+  sleep 2
+  begin callers "$dir/told-0" "$BIN/vtstandin" callers -nodes "${nodes:1}" -services "$(IFS=,; echo "${SERVICES[*]}")" -rate "$RATE" -prefix "s$seed"
+  local until=$((SECONDS + SECONDS_LOAD)) store_kinds=(down silent mute_watches lose_answers compacted)
+  while [ $SECONDS -lt $until ]; do
+    fault "${kinds[$((RANDOM % ${#kinds[@]}))]}" "${store_kinds[$((RANDOM % 5))]}"
+    [ $((RANDOM % 3)) = 0 ] && heal
+    sleep "0.$((RANDOM % 8 + 1))"
+  done
+  heal; config $((version + 1)); sleep 4
+  local calm; calm=$(date +%s%3N)
+  sleep "$CALM"
+  end callers; wait "${pid_of[callers]}" 2>/dev/null
+  "$BIN/vtstandin" judge -dir "$dir" -calm "$calm" >"$dir/verdict" 2>&1
+  local status=$? name
+  for name in "${!pid_of[@]}"; do end "$name" KILL; done
+  wait 2>/dev/null
+  echo "seed=$seed $(head -1 "$dir/verdict")"
+  grep BROKEN "$dir/verdict" | head -5
+  return $status
+}
+
+failed=0
+for s in "$@"; do soak "$s" || { failed=$((failed + 1)); echo "FAILED seed=$s, kept in $OUT/$s"; }; done
+echo "soak: $# seeds, $failed failed"
+[ $failed = 0 ]
