--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -50,7 +50,7 @@
 
 // soakCommands returns the programs of the fault soak.
 func soakCommands() []subcommands.Command {
-	return []subcommands.Command{storeCommand(), serverCommand(), proxyCommand(), callersCommand(), judgeCommand()}
+	return []subcommands.Command{storeCommand(), serverCommand(), proxyCommand(), callersCommand(), judgeCommand(), controlCommand()}
 }
 
 // storeCommand runs a metadata store; POST /faults on the control address
@@ -165,6 +165,35 @@
 	}
 }
 
+// controlTimeout bounds a call to a control address.
+const controlTimeout = 2 * time.Second
+
+// controlCommand makes one call to a program of the soak.
+func controlCommand() *soakCommand {
+	var method, url, body string
+	return &soakCommand{
+		name: "control", synopsis: "make one call to a program of the soak",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&method, "method", http.MethodPost, "HTTP `method`")
+			f.StringVar(&url, "url", "", "`URL` to call")
+			f.StringVar(&body, "body", "", "`text` of the body")
+		},
+		run: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+			if err != nil {
+				return errors.Wrap(err, "control")
+			}
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				return errors.Wrap(err, "control")
+			}
+			return errors.Wrap(response.Body.Close(), "control")
+		},
+	}
+}
+
 // callersCommand drives load and writes what callers were told.
 func callersCommand() *soakCommand {
 	var nodes, services, prefix string
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -23,7 +23,9 @@
   local pid=${pid_of[$1]:-}
   [ -n "$pid" ] && kill "-${2:-TERM}" "$pid" 2>/dev/null
 }
-control() { curl -s -m 2 -o /dev/null "$@" || true; }
+control() { # METHOD URL [BODY]: one call; one that fails is one more fault
+  "$BIN/vtstandin" control -method "$1" -url "$2" -body "${3:-}" 2>/dev/null || true
+}
 ip() { echo "$NET.$((seed % 250)).$(( $1 + 10 ))"; }
 
 settings() { # I: settings of node I on standard output
@@ -56,7 +58,7 @@
     services+=",{\"name\":\"$s\",\"healthCheckPath\":\"/health\",\"maxConnections\":200,\"coldStartS\":1,\"coldPerS\":19}"
   done
   local spec="{\"version\":\"r$version\",\"routes\":[${routes:1}],\"services\":[${services:1}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutS\":3,\"idleTimeoutS\":15}}"
-  control -X PUT -d "{\"metadata\":{\"name\":\"main\"},\"spec\":$spec}" "http://$store/api/objects/config/main"
+  control PUT "http://$store/api/objects/config/main" "{\"metadata\":{\"name\":\"main\"},\"spec\":$spec}"
 }
 
 fault() { # one fault, drawn by the seed; some end by themselves, heal ends the rest
@@ -64,9 +66,9 @@
   m=${modes[$((RANDOM % 6))]}
   echo "$(date +%s.%N) fault $1 node $i $m" >>"$dir/faults"
   case $1 in
-    hop) control "http://$(ip "$i"):7023/$m" ;;
-    store) control "http://$(ip "$i"):7024/$m" ;;
-    store_all) control -d "{\"$2\":true}" "http://$store_control/" ;;
+    hop) control POST "http://$(ip "$i"):7023/$m" ;;
+    store) control POST "http://$(ip "$i"):7024/$m" ;;
+    store_all) control POST "http://$store_control/" "{\"$2\":true}" ;;
     kill_node) end "node$i" KILL; wait "${pid_of[node$i]}" 2>/dev/null; sleep 0.3; start_node "$i" ;;
     stop_node) end "node$i" TERM; wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i" ;;
     pause_node) end "node$i" STOP; sleep "0.$((RANDOM % 9 + 1))"; end "node$i" CONT ;;
@@ -74,16 +76,17 @@
     crash_target) end "target$i" KILL; wait "${pid_of[target$i]}" 2>/dev/null; sleep 0.5; start_target "$i" ;;
     leave_target) end "target$i" TERM; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" ;;
     config) config $((version + RANDOM % 3 + 1)) ;;
-    out) control -X POST -d "{\"metadata\":{\"name\":\"z$((RANDOM % 3))\"},\"spec\":{}}" "http://$store/api/objects/evacuations" ;;
+    out) control POST "http://$store/api/objects/evacuations" "{\"metadata\":{\"name\":\"z$((RANDOM % 3))\"},\"spec\":{}}" ;;
   esac
 }
 heal() {
-  control -d '{}' "http://$store_control/"
+  control POST "http://$store_control/" '{}'
   local i
   for ((i = 0; i < NODES; i++)); do
-    control "http://$(ip "$i"):7023/pass"; control "http://$(ip "$i"):7024/pass"
+    control POST "http://$(ip "$i"):7023/pass"
+    control POST "http://$(ip "$i"):7024/pass"
   done
-  for i in 0 1 2; do control -X DELETE "http://$store/api/objects/evacuations/z$i"; done
+  for i in 0 1 2; do control DELETE "http://$store/api/objects/evacuations/z$i"; done
 }
 
 soak() { # SEED
