Bound the nodes that a node follows closely; make starts cost fewer calls

Now beats go to about eight targets of each service, drawn by a hash on which both sides agree; the others get a status at a period that grows with the fleet. At a start a node asks the store only for what no peer has told.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -49,6 +49,8 @@
 	// told is the last whole status, sent at statusAt. Only send uses them.
 	told     fleet.Status
 	statusAt time.Time
+	// distantAt is when distant peers got one.
+	distantAt time.Time
 
 	mu       sync.Mutex
 	sequence uint64
@@ -98,27 +100,37 @@
 			p.broadcast()
 			time.Sleep(tellPause)
 		case <-ticker.C:
+			p.node.fleet.Classify(p.node.settings().Name, p.node.guard.state(time.Now()).Service, time.Now())
 			p.broadcast()
 			p.node.events.silences(silence.Changes(p.node.fleet, time.Now()))
 		}
 	}
 }
 
-// broadcast sends each peer a status, or a beat if nothing but load changed
-// since the last status. A peer that was not heard yet gets a status.
+// broadcast sends each close peer a status, or a beat if nothing but load
+// changed since the last status. Distant ones get a status at changes and at
+// their own period. A peer that was not heard yet gets a status.
 func (p *peerTalk) broadcast() {
 	now := time.Now()
 	status := p.status(now)
-	whole := now.Sub(p.statusAt) >= statusEvery || !sameButLoad(&status, &p.told)
+	changed := !sameButLoad(&status, &p.told)
+	whole := changed || now.Sub(p.statusAt) >= statusEvery
 	if whole {
 		p.statusAt, p.told = now, status
 	}
+	distant := changed || now.Sub(p.distantAt) >= p.node.fleet.DistantEvery()
+	if distant {
+		p.distantAt = now
+	}
 	for _, peer := range p.node.fleet.Peers(now) {
+		if peer.Distant && !distant {
+			continue
+		}
 		status.EchoMillis = -1
 		if !peer.HeardAt.IsZero() {
 			status.EchoMillis = int(now.Sub(peer.HeardAt).Milliseconds())
 		}
-		if whole || peer.Status.Incarnation == 0 {
+		if whole || peer.Distant || peer.Status.Incarnation == 0 {
 			p.sendTo(peer.Contact, &status)
 			continue
 		}
@@ -131,7 +143,7 @@
 
 // sameButLoad reports whether two statuses of this node differ in load only.
 func sameButLoad(a, b *fleet.Status) bool {
-	return a.Instance == b.Instance && a.Open == b.Open && a.Stopping == b.Stopping &&
+	return a.Instance == b.Instance && (a.OutRevision > 0) == (b.OutRevision > 0) && a.Open == b.Open && a.Stopping == b.Stopping &&
 		a.Service == b.Service && a.ReachesStore == b.ReachesStore && a.SlowWhenFull == b.SlowWhenFull && a.Slots == b.Slots && a.ConfigNumber == b.ConfigNumber &&
 		slices.Equal(a.Out, b.Out) && (a.ColdLeftMillis > 0) == (b.ColdLeftMillis > 0)
 }
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -41,6 +41,15 @@
 	onDuty = 3
 	// dutyEvery is the time between two looks at who keeps watches.
 	dutyEvery = 500 * time.Millisecond
+	// steadyDuty is how many looks in a row have to say so before a node begins
+	// to watch, since at a start each node knows few others.
+	steadyDuty = 5
+	// startPause is how long a node that starts waits for peers to answer, up to
+	// startSpread more for their configuration, and then up to outSpread for the
+	// data centres that are out, which have more time to take effect.
+	startPause  = 12 * time.Millisecond
+	startSpread = 50 * time.Millisecond
+	outSpread   = 400 * time.Millisecond
 	// relistEvery is the mean time between two lists of what is watched.
 	relistEvery = 5 * time.Minute
 	// storeBackoff and storeBackoffCap bound the delays after failed calls. A
@@ -110,9 +119,25 @@
 
 // run follows the store until the context ends.
 func (s *storeSync) run(ctx context.Context) {
-	go s.readInTurn(ctx)
+	go s.followNodes(ctx)
 	go s.watchOnDuty(ctx)
-	s.followNodes(ctx)
+	s.readInTurn(ctx)
+}
+
+// begin reads what is in force, unless a peer has told it meanwhile: when many
+// nodes start together, the first to read tells the others.
+func (s *storeSync) begin(ctx context.Context) error {
+	wait.For(ctx, startPause+rand.N(startSpread))
+	if s.node.config.table().routes == nil {
+		if err := s.readConfig(ctx); err != nil {
+			return err
+		}
+	}
+	wait.For(ctx, rand.N(outSpread))
+	if s.node.config.table().outRevision == 0 {
+		return s.listOut(ctx)
+	}
+	return nil
 }
 
 func (s *storeSync) duty() fleet.StoreDuty {
@@ -122,15 +147,15 @@
 // readInTurn reads what is in force now and then: the nodes on duty in turns,
 // the others seldom. It begins at once.
 func (s *storeSync) readInTurn(ctx context.Context) {
-	for reads := 0; ; reads++ {
+	if err := s.begin(ctx); err != nil {
+		s.note(err)
+	}
+	for reads := 0; s.pauseReads(ctx); reads++ {
 		err := s.readConfig(ctx)
 		if err == nil && reads%readsPerList == 0 {
 			err = s.listOut(ctx)
 		}
 		s.note(err)
-		if !s.pauseReads(ctx) {
-			return
-		}
 	}
 }
 
@@ -166,8 +191,13 @@
 
 // watchOnDuty keeps watches while the node is one of those that do.
 func (s *storeSync) watchOnDuty(ctx context.Context) {
+	steady := 0
 	for wait.For(ctx, dutyEvery) {
+		steady++
 		if !s.watches() {
+			steady = 0
+		}
+		if steady < steadyDuty {
 			continue
 		}
 		watching, stop := context.WithCancel(ctx)
@@ -237,6 +267,7 @@
 	backoff := store.Backoff{Base: storeBackoff, Cap: storeBackoffCap}
 	for ctx.Err() == nil {
 		err := s.meet(ctx)
+		s.note(err)
 		if err == nil {
 			break
 		}
@@ -255,9 +286,10 @@
 
 // meet lists the nodes, and adds this one if it is missing. Two nodes that
 // add themselves at the same time find each other, since each lists again
-// after its write.
+// after its write. The first list may be old: a node that it lacks has added
+// itself since, and lists after that.
 func (s *storeSync) meet(ctx context.Context) error {
-	objects, _, err := s.client.List(ctx, platform.PrefixNodes)
+	objects, _, err := s.client.ListStale(ctx, platform.PrefixNodes)
 	if err != nil {
 		return err
 	}
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -31,6 +31,8 @@
 	Contact string
 	// HeardAt is when the latest datagram came. Zero means never.
 	HeardAt time.Time
+	// Distant tells that statuses are exchanged with the node, but no beats.
+	Distant bool
 	// LoadAt is when the load in Status was true.
 	LoadAt time.Time
 	// echoAt is when the node last heard from this one, as it told.
@@ -48,6 +50,8 @@
 	settings Settings
 	mu       sync.Mutex
 	peers    map[string]*Peer
+	// distant is the period of statuses to distant nodes.
+	distant time.Duration
 	// lives names the node of each incarnation in force.
 	lives map[uint64]string
 }
@@ -191,12 +195,12 @@
 
 // heard reports whether the node was heard of late.
 func (t *Table) heard(p *Peer, now time.Time) bool {
-	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < t.settings.SilentAfter
+	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < t.silence(p)
 }
 
 // reachable reports whether datagrams pass both ways and hops did not fail.
 func (t *Table) reachable(p *Peer, now time.Time) bool {
-	return t.heard(p, now) && now.Sub(p.echoAt) < t.settings.SilentAfter && !now.Before(p.avoidUntil)
+	return t.heard(p, now) && now.Sub(p.echoAt) < t.silence(p) && !now.Before(p.avoidUntil)
 }
 
 // Candidate is a target that requests may be sent to.
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -178,3 +178,57 @@
 		}
 	})
 }
+
+func TestNodesFollowABoundedNumberClosely(t *testing.T) {
+	for _, size := range []int{13, 76, 300, 1300} {
+		name := func(i int) string { return fmt.Sprintf("node-%d", i) }
+		service := func(i int) string { return fmt.Sprintf("s%d", i%4) }
+		tables := make([]*Table, 12)
+		for i := range tables {
+			tables[i] = newTestTable()
+			for j := range size {
+				if j == i {
+					continue
+				}
+				s := status(name(j), uint64(j+1), 1)
+				s.Service = service(j)
+				tables[i].Merge(s, "c", start)
+			}
+			tables[i].Classify(name(i), service(i), start)
+		}
+		for i, table := range tables {
+			near := 0
+			for _, p := range table.Peers(start) {
+				if !p.Distant {
+					near++
+				}
+			}
+			if size == 13 && near != 12 {
+				t.Errorf("in a fleet of 13 only %d are close", near)
+			}
+			if size > 13 && (near < 10 || near > 70) {
+				t.Errorf("in a fleet of %d, %d are close", size, near)
+			}
+			for j, other := range tables {
+				a, _ := table.Peer(name(j))
+				b, _ := other.Peer(name(i))
+				if i != j && a.Distant != b.Distant {
+					t.Errorf("%d and %d of %d do not agree", i, j, size)
+				}
+			}
+			if rate := float64(size) / table.DistantEvery().Seconds(); rate > 80 {
+				t.Errorf("%v statuses a second in a fleet of %d", rate, size)
+			}
+		}
+	}
+}
+
+// A distant node is told of seldom, and is out of reach later.
+func TestDistantNodeMayBeSilentForLonger(t *testing.T) {
+	table := newTestTable()
+	table.Merge(status("a", 1, 1), "c", start)
+	table.peers["a"].Distant, table.distant = true, time.Second
+	if !table.Reachable("a", start.Add(2*time.Second)) || table.Reachable("a", start.Add(3*time.Second)) {
+		t.Fatal("not out of reach after 2.6 periods")
+	}
+}
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"verbenatrestle/process/fleet"
 )
@@ -25,6 +26,10 @@
 	crowdCost   = 0.3
 	// coldCost is what a cold target costs: it is slower and takes few requests.
 	coldCost = 0.8
+	// staleCost is what a target costs whose load is older than staleAfter: its
+	// VM may have turned slow since.
+	staleCost  = 0.15
+	staleAfter = 700 * time.Millisecond
 	// remoteCost is what a target in another data centre costs.
 	remoteCost = 0.06
 )
@@ -77,6 +82,9 @@
 	if c.ColdLeft > 0 {
 		score += coldCost
 	}
+	if c.LoadAge > staleAfter {
+		score += staleCost
+	}
 	if c.DataCentre != asker.DataCentre {
 		score += remoteCost
 	}
