--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -161,12 +161,11 @@
 func (g *guard) sendFailed(o *order, state gate.State, err error) result {
 	failure := exchange.AsError(err)
 	if failure == nil || failure.Sent {
-		g.done(o, 0, true)
-		g.node.health.askNow()
 		kind := exchange.KindBroken
 		if failure != nil {
 			kind = failure.Kind
 		}
+		g.lost(o, state, kind, err)
 		return result{outcome: request.Unknown, reason: string(kind), arrived: true, err: err}
 	}
 	g.unsent(o)
@@ -176,6 +175,30 @@
 	return result{outcome: request.NotRun, reason: string(failure.Kind), err: err}
 }
 
+// lost ends a request without an answer. A caller that left says nothing about
+// the target.
+func (g *guard) lost(o *order, state gate.State, kind exchange.Kind, err error) {
+	now := time.Now()
+	g.mu.Lock()
+	down := false
+	switch kind {
+	case exchange.KindBroken:
+		down = g.gate.Lost(o.work, now)
+	case exchange.KindCancelled:
+		g.gate.Cancelled(o.work, now)
+	default:
+		g.gate.Done(o.work, 0, true, now)
+	}
+	g.mu.Unlock()
+	if down {
+		g.node.events.targetDown(state.Instance, err)
+		g.node.peers.tellAll()
+	}
+	if kind != exchange.KindCancelled {
+		g.node.health.askNow()
+	}
+}
+
 // broke closes the gate to a target that takes no connections.
 func (g *guard) broke(instance string, err error) {
 	g.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -137,10 +138,14 @@
 		p.sendTo(peer.Contact, &fleet.Beat{
 			Incarnation: status.Incarnation, Sequence: status.Sequence, Running: status.Running,
 			Waiting: status.Waiting, Speed: status.Speed, EchoMillis: status.EchoMillis,
+			FailingPercent: status.FailingPercent,
 		})
 	}
 }
 
+// percent returns a share in whole percent.
+func percent(share float64) int { return int(math.Round(100 * share)) }
+
 // sameButLoad reports whether two statuses of this node differ in load only.
 func sameButLoad(a, b *fleet.Status) bool {
 	return a.Instance == b.Instance && (a.OutRevision > 0) == (b.OutRevision > 0) && a.Open == b.Open && a.Stopping == b.Stopping &&
@@ -194,6 +199,7 @@
 		Running: state.Running, Waiting: state.Waiting, Speed: state.Speed, Open: state.Open,
 		ColdLeftMillis: int(state.ColdLeft.Milliseconds()),
 		SlowWhenFull:   state.SlowWhenFull,
+		FailingPercent: percent(state.Failing),
 		ReachesStore:   p.node.store.reached.Load(),
 		ConfigNumber:   table.number(), OutRevision: table.outRevision, Out: table.out,
 	}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -50,6 +50,9 @@
 	startPause  = 12 * time.Millisecond
 	startSpread = 50 * time.Millisecond
 	outSpread   = 400 * time.Millisecond
+	// settleTime is the least time after a start before a node takes its turn to
+	// read, and half of the greatest: by then it knows who is on duty.
+	settleTime = 800 * time.Millisecond
 	// relistEvery is the mean time between two lists of what is watched.
 	relistEvery = 5 * time.Minute
 	// storeBackoff and storeBackoffCap bound the delays after failed calls. A
@@ -150,6 +153,7 @@
 	if err := s.begin(ctx); err != nil {
 		s.note(err)
 	}
+	wait.For(ctx, settleTime+rand.N(settleTime))
 	for reads := 0; s.pauseReads(ctx); reads++ {
 		err := s.readConfig(ctx)
 		if err == nil && reads%readsPerList == 0 {
--- a/process/fleet/status.go
+++ b/process/fleet/status.go
@@ -45,6 +45,8 @@
 	ReachesStore bool
 	// SlowWhenFull tells that the target was seen to slow down when nearly full.
 	SlowWhenFull bool
+	// FailingPercent is the share of the target's runs that fail.
+	FailingPercent int
 }
 
 // ColdLeft returns how much longer the target is cold.
@@ -64,4 +66,6 @@
 	Speed   int
 	// EchoMillis is as in Status.
 	EchoMillis int
+	// FailingPercent is as in Status.
+	FailingPercent int
 }
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -132,6 +132,7 @@
 	}
 	p.Status.Sequence = b.Sequence
 	p.Status.Running, p.Status.Waiting, p.Status.Speed = b.Running, b.Waiting, b.Speed
+	p.Status.FailingPercent = b.FailingPercent
 	p.HeardAt, p.LoadAt = now, now
 	p.echo(b.EchoMillis, now)
 }
@@ -220,6 +221,8 @@
 	Running int
 	Waiting int
 	Speed   int
+	// FailingPercent is the share of its runs that fail.
+	FailingPercent int
 	// InFlight counts this node's own requests there.
 	InFlight int
 	// ColdLeft is how much longer the target is cold.
@@ -243,6 +246,7 @@
 			Node: s.Node, Hop: s.Hop, Incarnation: s.Incarnation, Instance: s.Instance,
 			DataCentre: s.DataCentre, Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 			Speed: s.Speed, InFlight: p.inFlight, ColdLeft: s.ColdLeft() - age, LoadAge: age,
+			FailingPercent: s.FailingPercent,
 		})
 	}
 	slices.SortFunc(found, func(a, b Candidate) int { return strings.Compare(a.Node, b.Node) })
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -72,6 +72,8 @@
 	// crowding tells whether the target slows down when it is nearly full, in
 	// which case it gets fewer requests at once.
 	crowding crowding
+	// failing tells how many of the target's runs fail.
+	failing failing
 	// nestedAt is when a call of a target came last.
 	nestedAt time.Time
 }
@@ -326,10 +328,31 @@
 		g.learn(work.Kind, took)
 		g.crowding.ran(work.Kind, took, g.running, g.target.Slots)
 	}
+	g.failing.ran(failed, now)
+	g.failing.broken = 0
 	g.ended(work)
 	g.advance(now)
 }
 
+// Cancelled ends a request that reached the target and was given up.
+func (g *Gate) Cancelled(work Work, now time.Time) {
+	g.ended(work)
+	g.advance(now)
+}
+
+// Lost ends a request whose connection broke. It reports whether the target is
+// down, since connections keep breaking.
+func (g *Gate) Lost(work Work, now time.Time) bool {
+	g.failing.ran(true, now)
+	g.ended(work)
+	if g.failing.lost() && !g.down {
+		g.Broke(now)
+		return true
+	}
+	g.advance(now)
+	return false
+}
+
 // Unsent ends a request that passed and did not reach the target.
 func (g *Gate) Unsent(work Work, now time.Time) {
 	g.ended(work)
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -428,3 +428,46 @@
 	}
 	return g.Limit()
 }
+
+// A target goes down and up by turns: it takes connections and closes them
+// under each request. After the second the gate is closed until a check is
+// answered; a single lost answer among good ones closes nothing.
+func TestTargetWhoseConnectionsKeepBreakingIsDown(t *testing.T) {
+	g := newTestGate(18)
+	for range 5 {
+		g.Offer(work("a", start), start)
+		if g.Lost(work("a", start), start) {
+			t.Fatal("down after a single lost answer")
+		}
+		g.Offer(work("b", start), start)
+		g.Done(work("b", start), time.Millisecond, false, start)
+	}
+	g.Offer(work("c", start), start)
+	g.Offer(work("d", start), start)
+	if g.Lost(work("c", start), start) || !g.Lost(work("d", start), start) {
+		t.Fatal("not down after two in a row")
+	}
+	if d := g.Offer(work("e", start), start); d.Refused != RefusedDown {
+		t.Fatalf("refused %q", d.Refused)
+	}
+	g.Checked("i-1", 0, start)
+	if !g.Offer(work("f", start), start).Passed() {
+		t.Fatal("still closed after a good check")
+	}
+}
+
+// A target fails part of its requests while its health is good: the others are
+// told by what share, and it is tried again after a while.
+func TestShareOfFailures(t *testing.T) {
+	g := newTestGate(18)
+	for i := range 60 {
+		g.Offer(work("a", start), start)
+		g.Done(work("a", start), time.Millisecond, i%2 == 0, start)
+	}
+	if share := g.State(start).Failing; share < 0.3 || share > 0.7 {
+		t.Fatalf("share %v of runs that fail half of the time", share)
+	}
+	if share := g.State(start.Add(20 * time.Second)).Failing; share > 0.05 {
+		t.Fatalf("share %v after 20 s without a run", share)
+	}
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -22,6 +22,8 @@
 	ColdLeft time.Duration
 	// SlowWhenFull tells that the target was seen to slow down when nearly full.
 	SlowWhenFull bool
+	// Failing is the share of runs that fail.
+	Failing float64
 }
 
 // State returns the present state.
@@ -41,6 +43,7 @@
 		ColdLeft: max(0, g.coldUntil.Sub(now)),
 
 		SlowWhenFull: g.crowding.found,
+		Failing:      g.failing.now(now),
 	}
 }
 
@@ -62,6 +65,7 @@
 		g.down = false
 		g.coldUntil = time.Time{}
 		g.speed = usualSpeed
+		g.failing = failing{}
 	}
 	if report.ColdFor > 0 {
 		g.coldUntil = now.Add(report.ColdFor)
@@ -107,6 +111,9 @@
 		return false
 	}
 	changed := g.down
+	if changed {
+		g.failing.broken = 0
+	}
 	g.down = false
 	if cold := coldLeft > 0; cold != g.cold(now) {
 		changed = true
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -26,6 +26,10 @@
 	crowdCost   = 0.3
 	// coldCost is what a cold target costs: it is slower and takes few requests.
 	coldCost = 0.8
+	// failCost is what a target costs all of whose runs fail, in proportion above
+	// usualFailures: some fail everywhere, by errors and time limits.
+	failCost      = 3.0
+	usualFailures = 0.2
 	// staleCost is what a target costs whose load is older than staleAfter: its
 	// VM may have turned slow since.
 	staleCost  = 0.15
@@ -82,6 +86,7 @@
 	if c.ColdLeft > 0 {
 		score += coldCost
 	}
+	score += failCost * max(0, float64(c.FailingPercent)/100-usualFailures)
 	if c.LoadAge > staleAfter {
 		score += staleCost
 	}
--- /dev/null
+++ b/request/placement/choose_test.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"verbenatrestle/process/fleet"
+)
+
+func candidate(node string, change func(*fleet.Candidate)) fleet.Candidate {
+	c := fleet.Candidate{Node: node, DataCentre: "here", Slots: 18, Speed: 100}
+	change(&c)
+	return c
+}
+
+// What a candidate is preferred for, by pattern of load: each pair names the
+// better one first.
+func TestPreferences(t *testing.T) {
+	free := func(*fleet.Candidate) {}
+	for name, pair := range map[string][2]func(*fleet.Candidate){
+		"less loaded":                     {free, func(c *fleet.Candidate) { c.Running = 4 }},
+		"fast, though half full":          {func(c *fleet.Candidate) { c.Running = 9 }, func(c *fleet.Candidate) { c.Speed = 500 }},
+		"slow, when the fast one is full": {func(c *fleet.Candidate) { c.Speed = 500 }, func(c *fleet.Candidate) { c.Running = 18 }},
+		"warm":                            {func(c *fleet.Candidate) { c.Running = 12 }, func(c *fleet.Candidate) { c.ColdLeft = time.Second }},
+		"own data centre":                 {func(c *fleet.Candidate) { c.Running = 2 }, func(c *fleet.Candidate) { c.DataCentre = "there" }},
+		"other data centre, when crowded": {func(c *fleet.Candidate) { c.DataCentre = "there" }, func(c *fleet.Candidate) { c.Running = 15 }},
+		"one that fails seldom":           {func(c *fleet.Candidate) { c.Running = 12 }, func(c *fleet.Candidate) { c.FailingPercent = 40 }},
+		"one that was heard lately":       {func(c *fleet.Candidate) { c.Running = 5 }, func(c *fleet.Candidate) { c.LoadAge = time.Second }},
+		"own requests on their way count": {func(c *fleet.Candidate) { c.Running = 2 }, func(c *fleet.Candidate) { c.InFlight = 6 }},
+	} {
+		better, worse := candidate("better", pair[0]), candidate("worse", pair[1])
+		rng := rand.New(rand.NewPCG(1, 1))
+		if at := Choose([]fleet.Candidate{worse, better}, nil, Asker{DataCentre: "here"}, rng); at != 1 {
+			t.Errorf("%s: %v against %v", name, Score(&better, Asker{DataCentre: "here"}), Score(&worse, Asker{DataCentre: "here"}))
+		}
+	}
+}
+
+func TestTiesAreSpread(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	counts := make([]int, 4)
+	candidates := make([]fleet.Candidate, len(counts))
+	for i := range candidates {
+		candidates[i] = candidate("n", func(*fleet.Candidate) {})
+	}
+	for range 4000 {
+		counts[Choose(candidates, nil, Asker{DataCentre: "here"}, rng)]++
+	}
+	for i, count := range counts {
+		if count < 800 || count > 1200 {
+			t.Errorf("candidate %d was chosen %d of 4000 times", i, count)
+		}
+	}
+	if at := Choose(candidates, []string{"n"}, Asker{}, rng); at != -1 {
+		t.Errorf("an excluded candidate was chosen: %d", at)
+	}
+}
