Say honestly when there will be room; log lost attempts at the guard

Found in an incident: a request refused from a queue of 13 was told to come back after 50 ms, since half of the queue was left out of the estimate; the guard wrote nothing of a request whose connection broke; a caller that had left counted as a lost hop.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -195,6 +195,7 @@
 		g.node.peers.tellAll()
 	}
 	if kind != exchange.KindCancelled {
+		g.node.events.attemptLost(o, state.Instance, string(kind), state.Running, err)
 		g.node.health.askNow()
 	}
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -31,6 +31,9 @@
 	hopConfig = "config"
 )
 
+// reasonCallerLeft is the reason of an attempt whose caller has left.
+const reasonCallerLeft = "caller-left"
+
 const (
 	// hopDialTimeout bounds the opening of a connection to another node: some
 	// round trips between data centres and one lost packet.
@@ -119,6 +122,9 @@
 		return result{outcome: request.NotRun, reason: "hop-" + string(failure.Kind), err: err}
 	}
 	r := result{outcome: request.Unknown, reason: "hop-lost", arrived: true, err: err}
+	if failure != nil && failure.Kind == exchange.KindCancelled {
+		r.reason = reasonCallerLeft
+	}
 	if failure != nil && failure.Kind == exchange.KindBroken && o.work.Once && ctx.Err() == nil {
 		if h.fence(ctx, to, o.work.ID) {
 			r.outcome, r.reason, r.arrived = request.NotRun, "hop-fenced", false
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -278,7 +278,7 @@
 			continue
 		}
 		g.queue = slices.Delete(g.queue, i, i+1)
-		g.refuse(ticket, g.fullReason(now), g.wait(max(0, len(g.queue)-limit/2), now))
+		g.refuse(ticket, g.fullReason(now), g.wait(len(g.queue), now))
 	}
 }
 
