--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -50,7 +50,7 @@
 
 // soakCommands returns the programs of the fault soak.
 func soakCommands() []subcommands.Command {
-	return []subcommands.Command{storeCommand(), serverCommand(), proxyCommand(), callersCommand(), judgeCommand(), controlCommand()}
+	return []subcommands.Command{storeCommand(), serverCommand(), proxyCommand(), callersCommand(), judgeCommand(), controlCommand(), operatorCommand()}
 }
 
 // storeCommand runs a metadata store; POST /faults on the control address
@@ -194,6 +194,36 @@
 	}
 }
 
+// operatorCommand makes one change as the operator.
+func operatorCommand() *soakCommand {
+	var operator standin.Operator
+	var services, out, back string
+	var version int
+	return &soakCommand{
+		name: "operator", synopsis: "make one change at the store as the operator, for the soak",
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&operator.Store, "store", "", "`IP:port` of the store")
+			f.StringVar(&services, "services", "", "`name,...` of the services of a configuration")
+			f.IntVar(&version, "version", 0, "`number` of the configuration to write")
+			f.StringVar(&out, "out", "", "`data centre` to take out")
+			f.StringVar(&back, "back", "", "`data centre` to take back")
+		},
+		run: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+			defer cancel()
+			switch {
+			case version > 0:
+				return operator.Configure(ctx, version, strings.Split(services, ","))
+			case out != "":
+				return operator.TakeOut(ctx, out)
+			case back != "":
+				return operator.TakeBack(ctx, back)
+			}
+			return errors.New("operator: nothing to do")
+		},
+	}
+}
+
 // callersCommand drives load and writes what callers were told.
 func callersCommand() *soakCommand {
 	var nodes, services, prefix string
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -49,16 +49,10 @@
   begin "target$1" "$dir/ran-$lives" "$BIN/vtstandin" server -listen "$(ip "$1"):7001" -instance "i-$1-$lives" \
     -service "${SERVICES[$(($1 % 2))]}" -dc "z$(($1 % 3))" -node "$(ip "$1"):7005"
 }
+operator() { "$BIN/vtstandin" operator -store "$store" "$@" 2>/dev/null || true; } # a change that fails is one more fault
 config() { # VERSION: write a configuration
   version=$1
-  local routes='' services='' s kind
-  for s in "${SERVICES[@]}"; do
-    kind=idempotent; [[ $s == once* ]] && kind=non_idempotent
-    routes+=",{\"name\":\"r-$s\",\"host\":\"h\",\"pathPrefix\":\"/$s/\",\"kind\":\"$kind\",\"timeoutS\":1.5,\"targetLatencyS\":0.5,\"priority\":1,\"service\":\"$s\",\"maxAttempts\":2}"
-    services+=",{\"name\":\"$s\",\"healthCheckPath\":\"/health\",\"maxConnections\":200,\"coldStartS\":1,\"coldPerS\":19}"
-  done
-  local spec="{\"version\":\"r$version\",\"routes\":[${routes:1}],\"services\":[${services:1}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\"headerTimeoutS\":3,\"idleTimeoutS\":15}}"
-  control PUT "http://$store/api/objects/config/main" "{\"metadata\":{\"name\":\"main\"},\"spec\":$spec}"
+  operator -version "$1" -services "$(IFS=,; echo "${SERVICES[*]}")"
 }
 
 fault() { # one fault, drawn by the seed; some end by themselves, heal ends the rest
@@ -76,7 +70,7 @@
     crash_target) end "target$i" KILL; wait "${pid_of[target$i]}" 2>/dev/null; sleep 0.5; start_target "$i" ;;
     leave_target) end "target$i" TERM; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" ;;
     config) config $((version + RANDOM % 3 + 1)) ;;
-    out) control POST "http://$store/api/objects/evacuations" "{\"metadata\":{\"name\":\"z$((RANDOM % 3))\"},\"spec\":{}}" ;;
+    out) operator -out "z$((RANDOM % 3))" ;;
   esac
 }
 heal() {
@@ -86,7 +80,7 @@
     control POST "http://$(ip "$i"):7023/pass"
     control POST "http://$(ip "$i"):7024/pass"
   done
-  for i in 0 1 2; do control DELETE "http://$store/api/objects/evacuations/z$i"; done
+  for i in 0 1 2; do operator -back "z$i"; done
 }
 
 soak() { # SEED
