--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# All tests under the race detector, with fixed seeds. Passes over just the
-# tests that KNOWN-RED.txt names at the start of a line, and prints its lines.
+# All tests under the race detector, with fixed seeds. Passes over just what
+# KNOWN-RED.txt names at the start of a line, and prints its lines: a test by
+# its name, a ginkgo spec as "spec PACKAGE: TEXT".
 set -euo pipefail
 cd "$(dirname "$0")/.."
 skip=()
@@ -10,4 +11,20 @@
   names=$(grep -oE '^(Test|Fuzz)[A-Za-z0-9_/]+' KNOWN-RED.txt | sort -u | paste -sd'|' -)
   [ -z "$names" ] || skip=(-skip "^($names)\$")
 fi
-go test -race -count=1 -timeout 600s "${skip[@]}" ./...
+spec_package='' spec_text=''
+if line=$(grep -m1 -E '^spec ' KNOWN-RED.txt 2>/dev/null); then
+  line=${line#spec }
+  spec_package=${line%%: *}
+  spec_text=${line#*: }
+fi
+packages=()
+while read -r package; do
+  [ -n "$spec_package" ] && [ "$package" = "verbenatrestle/${spec_package#./}" ] || packages+=("$package")
+done < <(go list ./...)
+go test -race -count=1 -timeout 600s "${skip[@]}" "${packages[@]}"
+[ -z "$spec_package" ] || go test -race -count=1 -timeout 600s "${skip[@]}" "$spec_package" -ginkgo.skip "$spec_text"
+# A short fault soak of the real programs; longer ones by hand: make soak.
+BIN=$(mktemp -d)
+trap 'rm -rf "$BIN"' EXIT
+go build -o "$BIN/" ./cmd/vtnode ./cmd/vtstandin
+BIN="$BIN" OUT="$BIN/soak" NODES=4 SECONDS_LOAD=5 RATE=40 scripts/soak.sh "${SOAK_SEED:-1}"
