--- a/process/fleet/close.go
+++ b/process/fleet/close.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// closeTargets is how many targets of each service a node follows closely:
-	// enough to find a free and fast one among them, however large the service.
-	closeTargets = 8
+	// closeTargets is how many targets of each service a node follows closely.
+	// With 8 of 26, callers of the grown sites were served worse than with all.
+	closeTargets = 32
 	// distantPerNode is the period of statuses to distant nodes for each node of
 	// the fleet, and minDistant its lower bound, so that a node sends a bounded
 	// number of them a second.
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -229,6 +229,8 @@
 	ColdLeft time.Duration
 	// LoadAge is how old the load is.
 	LoadAge time.Duration
+	// Distant tells that the load is told seldom.
+	Distant bool
 }
 
 // Candidates returns the open targets of a service that can be reached.
@@ -246,7 +248,7 @@
 			Node: s.Node, Hop: s.Hop, Incarnation: s.Incarnation, Instance: s.Instance,
 			DataCentre: s.DataCentre, Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
 			Speed: s.Speed, InFlight: p.inFlight, ColdLeft: s.ColdLeft() - age, LoadAge: age,
-			FailingPercent: s.FailingPercent,
+			FailingPercent: s.FailingPercent, Distant: p.Distant,
 		})
 	}
 	slices.SortFunc(found, func(a, b Candidate) int { return strings.Compare(a.Node, b.Node) })
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -87,7 +87,7 @@
 		score += coldCost
 	}
 	score += failCost * max(0, float64(c.FailingPercent)/100-usualFailures)
-	if c.LoadAge > staleAfter {
+	if c.Distant || c.LoadAge > staleAfter {
 		score += staleCost
 	}
 	if c.DataCentre != asker.DataCentre {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,7 @@
 if [ -s KNOWN-RED.txt ]; then
   echo "known red, passed over:"
   cat KNOWN-RED.txt
-  names=$(grep -oE '^(Test|Fuzz)[A-Za-z0-9_/]+' KNOWN-RED.txt | sort -u | paste -sd'|' -)
+  names=$(grep -oE '^(Test|Fuzz)[A-Za-z0-9_/]+' KNOWN-RED.txt | sort -u | paste -sd'|' - || true)
   [ -z "$names" ] || skip=(-skip "^($names)\$")
 fi
 spec_package='' spec_text=''
