--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,9 +54,19 @@
 	return l.b.String()
 }
 
+// addresses counts the loopback addresses that were handed out. Each listener
+// has one of its own: on 127.0.0.1 the port of an outgoing connection may be
+// the one that was free a moment ago.
+var addresses atomic.Uint32
+
+func nextIP() string {
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, n/250, n%250+1)
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", nextIP()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -64,7 +76,7 @@
 
 func freeUDPAddress(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp4", nextIP()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
