Drop what nobody calls, and what stood twice in the gateway

Two methods without a caller and a result that nobody reads go; the service beside which a request began stands in its work only, not in its order as well; a target taken for down is told of in one place, and a bad order answered in one; a node's own rank is hashed once, not once a peer. Behaviour stays as it is.

--- a/connection/pipeline/server.go
+++ b/connection/pipeline/server.go
@@ -92,13 +92,6 @@
 	return total
 }
 
-// Connections returns the number of open connections.
-func (s *Server) Connections() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
-
 // Close closes all connections and waits for their handlers.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -130,7 +130,7 @@
 	message.Header = o.message.Header.Clone()
 	message.Header.Set(platform.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
 	message.Header.Set(platform.HeaderExpectedTarget, state.Instance)
-	message.Header.Set(platform.HeaderCaller, o.caller)
+	message.Header.Set(platform.HeaderCaller, o.work.Caller)
 	ctx, cancel := context.WithDeadline(ctx, o.work.Deadline.Add(answerGrace))
 	defer cancel()
 	maxIdle := time.Duration(0)
@@ -191,8 +191,7 @@
 	}
 	g.mu.Unlock()
 	if down {
-		g.node.events.targetDown(state.Instance, err)
-		g.node.peers.tellAll()
+		g.tellDown(state.Instance, err)
 	}
 	if kind != exchange.KindCancelled {
 		g.node.events.attemptLost(o, state.Instance, string(kind), state.Running, err)
@@ -210,12 +209,18 @@
 	}
 	g.mu.Unlock()
 	if changed {
-		g.node.events.targetDown(instance, err)
-		g.node.peers.tellAll()
+		g.tellDown(instance, err)
 	}
 	g.node.health.askNow()
 }
 
+// tellDown logs that the gate was closed to a target that is down, and tells
+// the peers.
+func (g *guard) tellDown(instance string, err error) {
+	g.node.events.targetDown(instance, err)
+	g.node.peers.tellAll()
+}
+
 // answered sorts a whole answer.
 func (g *guard) answered(o *order, state gate.State, answer *exchange.Answer, took time.Duration) result {
 	g.sampled(answer.Header.Get(platform.HeaderLoad))
@@ -262,7 +267,7 @@
 }
 
 // reported takes in a status report of the target.
-func (g *guard) reported(report gate.Report) bool {
+func (g *guard) reported(report gate.Report) {
 	now := time.Now()
 	g.mu.Lock()
 	before := g.gate.State(now)
@@ -274,7 +279,7 @@
 	g.mu.Unlock()
 	if !accepted {
 		g.node.events.reportIgnored(report, "older than what is known")
-		return false
+		return
 	}
 	g.configure(g.node.config.table())
 	changed := before.Instance != after.Instance || before.Open != after.Open
@@ -282,7 +287,6 @@
 		g.node.events.targetChanged(report, before, after)
 		g.node.peers.tellAll()
 	}
-	return true
 }
 
 // replacePool starts anew with connections. The old ones end with their
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -101,7 +101,7 @@
 	message.Header.Set(request.HeaderService, o.service)
 	message.Header.Set(headerOrder, encodeOrder(o, now))
 	message.Header.Set(platform.HeaderTimeout, strconv.FormatInt(o.work.Deadline.Sub(now).Milliseconds(), 10))
-	message.Header.Set(platform.HeaderCaller, o.caller)
+	message.Header.Set(platform.HeaderCaller, o.work.Caller)
 	ctx, cancel := context.WithDeadline(ctx, o.work.Deadline.Add(hopGrace))
 	defer cancel()
 	answer, err := h.pool(to.Hop).Do(ctx, &message, 0)
@@ -302,12 +302,10 @@
 func (n *Node) serveRun(ctx context.Context, r *pipeline.Request) *pipeline.Response {
 	id := r.Header.Get(platform.HeaderRequestID)
 	work, err := decodeOrder(r.Header.Get(headerOrder), r.Arrived)
-	if err != nil {
-		n.events.badMessage("order", r.Peer, err)
-		bad := refused("bad-order", 0)
-		return writeHop(id, &bad)
+	var left time.Duration
+	if err == nil {
+		left, err = platform.ParseMillis(r.Header.Get(platform.HeaderTimeout))
 	}
-	left, err := platform.ParseMillis(r.Header.Get(platform.HeaderTimeout))
 	if err != nil {
 		n.events.badMessage("order", r.Peer, err)
 		bad := refused("bad-order", 0)
@@ -319,7 +317,6 @@
 	o := &order{
 		message: exchange.Request{Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body, ID: id},
 		service: r.Header.Get(request.HeaderService),
-		caller:  r.Header.Get(platform.HeaderCaller),
 		work:    work,
 	}
 	for _, name := range []string{request.HeaderHop, request.HeaderService, headerOrder} {
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -148,7 +148,6 @@
 	removeHopByHop(r.Header)
 	return &order{
 		message:   exchange.Request{Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body, ID: id},
-		caller:    n.settings().Service,
 		objective: objective,
 		work: gate.Work{
 			ID:        id,
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -16,8 +16,6 @@
 	message exchange.Request
 	// service is the service whose target is to run it.
 	service string
-	// caller is the service beside which the request began.
-	caller string
 	// work is what the gate goes by.
 	work gate.Work
 	// objective is the latency within which an answer is of full use.
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -295,6 +295,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	near, reaching, before := 1, 0, 0
+	rank := dutyRank(name)
 	for other, p := range t.peers {
 		if !t.reachable(p, now) {
 			continue
@@ -302,7 +303,7 @@
 		near++
 		if p.Status.ReachesStore {
 			reaching++
-			if dutyRank(other) < dutyRank(name) {
+			if dutyRank(other) < rank {
 				before++
 			}
 		}
--- a/version/routetable.go
+++ b/version/routetable.go
@@ -107,9 +107,6 @@
 	return facts, ok
 }
 
-// Services returns the number of services.
-func (t *RouteTable) Services() int { return len(t.services) }
-
 // Route returns the rule of the host with the longest prefix of the path, or
 // nil. The path is the one that the caller sent, undecoded.
 func (t *RouteTable) Route(host, path string) *Rule {
