--- a/connection/peerlink/accept.go
+++ b/connection/peerlink/accept.go
@@ -108,10 +108,11 @@
 	if err := l.nonces.use(dialler.node+" "+dialler.nonce, now, 2*window); err != nil {
 		return nil, reject(http.StatusUnauthorized, err)
 	}
-	p, err := l.peer(dialler.node)
+	p, err := l.lockedPeer(dialler.node)
 	if err != nil {
 		return nil, reject(http.StatusServiceUnavailable, err)
 	}
+	defer p.mu.Unlock()
 	until := now.Add(l.opts.Limits.HandshakeTimeout)
 	if err := p.admits(l.opts.Self, dialler.instance, until); err != nil {
 		return nil, reject(http.StatusConflict, err)
--- a/connection/peerlink/links.go
+++ b/connection/peerlink/links.go
@@ -143,16 +143,12 @@
 
 // enqueue queues an encoded message and sees to it that a link takes it.
 func (l *Links) enqueue(to string, data []byte) error {
-	p, err := l.peer(to)
+	p, err := l.lockedPeer(to)
 	if err != nil {
 		return err
 	}
-	now := time.Now()
-	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.forgotten {
-		return errors.New("peer was forgotten just now")
-	}
+	now := time.Now()
 	if p.link == nil && !p.dialling && now.Before(p.nextDial) && p.conflicts == 0 {
 		return errors.Errorf("the last dial failed, the next is in %s", p.nextDial.Sub(now))
 	}
@@ -168,8 +164,9 @@
 	return nil
 }
 
-// peer returns the entry of a peer, made when there is none.
-func (l *Links) peer(name string) (*peer, error) {
+// lockedPeer returns the entry of a peer, made when there is none, with its
+// lock held: the sweep can't drop it before the caller has used it.
+func (l *Links) lockedPeer(name string) (*peer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.running {
@@ -185,6 +182,7 @@
 		p.inbox.handle = func(e event) { l.handle(p, e) }
 		l.peers[name] = p
 	}
+	p.mu.Lock()
 	return p, nil
 }
 
--- a/connection/peerlink/peer.go
+++ b/connection/peerlink/peer.go
@@ -99,16 +99,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.link == nil && !p.dialling && len(p.queue) == 0 && p.inbox.empty()
-	p.forgotten = idle && now.After(p.nextDial)
+	p.forgotten = idle && now.After(p.nextDial) && now.After(p.reserved)
 	return p.forgotten
 }
 
 // admits reports why a dial of the peer's process is refused, nil if it isn't.
 // When two nodes dial each other at once, the dial of the smaller name goes on.
-// Once a dial is admitted, this node starts none of its own until then.
+// Once a dial is admitted, this node starts none of its own until then. The
+// caller holds the lock.
 func (p *peer) admits(self, instance string, until time.Time) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	ours := p.link == nil && p.dialling
 	if p.link != nil && p.link.instance == instance {
 		ours = p.link.dialled
