Stop the callers' listener without dropping requests

A planned stop broke sends ("connection broke", EOF) beside load. Cause, by the time of the stop's steps and of the breaks: http.Server.Shutdown drops requests whose header it reads after it has begun, and closing the listener resets the connections that wait to be accepted. Now the listener is drained first (accept what waits, then end the listening in the same step), then the connections must have been unused for a second, and only then does Shutdown run.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -46,11 +46,13 @@
 	mix      load.Mix
 }
 
+// addresses counts the listeners of the specs.
+var addresses atomic.Int64
+
+// freeAddress gives each listener a port of its own, below those that the
+// kernel gives to outgoing connections: these would take it before it is used.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	return fmt.Sprintf("127.8.3.1:%d", 18000+addresses.Add(1))
 }
 
 func startCluster() *cluster {
--- a/node/servers.go
+++ b/node/servers.go
@@ -51,6 +51,9 @@
 	hop      *http.Server
 	admin    *http.Server
 	announce *http.Server
+	// callersListener and callerConns are what the planned stop of callers needs.
+	callersListener *drainingListener
+	callerConns     *callerConns
 }
 
 func newServers(s Settings, logger log.Logger, h handlers) *servers {
@@ -73,6 +76,8 @@
 		announce: server(s.Listen.Announce, h.announce, callerIdleTimeout),
 	}
 	out.hop.Protocols = protocols(s.HopProtocol)
+	out.callerConns = &callerConns{open: make(map[net.Conn]time.Time)}
+	out.callers.ConnState = out.callerConns.changed
 	return out
 }
 
@@ -89,12 +94,17 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", server.Addr)
 		}
+		if server == s.callers {
+			s.callersListener = &drainingListener{TCPListener: listener.(*net.TCPListener)}
+			listener = s.callersListener
+		}
 		listeners = append(listeners, listener)
 	}
 	failed := make(chan error, len(all))
 	for i, server := range all {
 		go func() {
-			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+			err := server.Serve(listeners[i])
+			if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- errors.Wrapf(err, "serve on %s", server.Addr)
 			}
 		}()
@@ -106,7 +116,11 @@
 // then the hops that other nodes and the callers' requests need.
 func (s *servers) stop(ctx context.Context) error {
 	wait.For(ctx, lingerBeforeStop)
-	err := s.callers.Shutdown(ctx)
+	err := s.callersListener.drain()
+	s.callerConns.awaitUnused(ctx)
+	if shut := s.callers.Shutdown(ctx); err == nil {
+		err = shut
+	}
 	wait.For(ctx, lingerBeforeStop)
 	var group errgroup.Group
 	for _, server := range []*http.Server{s.hop, s.admin, s.announce} {
