Send a movable request on from a busy or slow target; keep a margin in the queue

Targets turn five times slower for a moment, and what starts then is slow to its end. The guard beside the target asks for its speed 20 times a second, so it knows; the ingress hears of it too late. So the first two targets that are asked take a request only if they start it at once and are not slow (2.5 times); a refusal is one hop and has not run. After those, targets queue as before. In the queue a request needs 1.3 mean run times up to its aim: with one, half of what a full queue starts ends late.

Ruled out: herding alone (mended before), work that differs (archive-search shows none of it). TestMovableRequestIsSentOnAtOnce and TestQueueKeepsOnlyWhatEndsInTime fail before (no such field; the queue holds the third request).

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"verbenatrestle/process/fleet"
@@ -19,6 +20,9 @@
 	maxTries = 6
 	// minRetryLeft is the least time left with which a request is tried again.
 	minRetryLeft = 20 * time.Millisecond
+	// movableTries is how many targets are asked to take the request only if they
+	// can start it now, before one is asked to queue it.
+	movableTries = 2
 	// noTargetAfter is when to come back if no target can be reached: about the
 	// time in which a lost one is heard again.
 	noTargetAfter = 400 * time.Millisecond
@@ -51,10 +55,11 @@
 	d.order.service = d.choosePart()
 	last := refused("no-target", noTargetAfter)
 	for d.asked < maxTries {
-		candidate, ok := d.choose()
+		candidate, others, ok := d.choose()
 		if !ok {
 			break
 		}
+		d.order.work.Movable = others > 0 && d.asked < movableTries
 		r := d.attempt(ctx, &candidate)
 		if r.answer != nil || last.answer == nil {
 			last = r
@@ -76,17 +81,23 @@
 	return d.node.shares.next(d.rule)
 }
 
-// choose chooses the target of the next attempt.
-func (d *dispatch) choose() (fleet.Candidate, bool) {
+// choose chooses the target of the next attempt, and tells how many others
+// there are to ask after it.
+func (d *dispatch) choose() (chosen fleet.Candidate, others int, ok bool) {
 	now := time.Now()
 	candidates := d.node.candidates(d.order.service, d.table, now)
 	rng := d.node.rngs.Get().(*rand.Rand)
 	defer d.node.rngs.Put(rng)
 	at := placement.Choose(candidates, d.tried, placement.Asker{DataCentre: d.node.settings().DataCentre}, rng)
 	if at < 0 {
-		return fleet.Candidate{}, false
+		return fleet.Candidate{}, 0, false
 	}
-	return candidates[at], true
+	for i := range candidates {
+		if i != at && !slices.Contains(d.tried, candidates[i].Node) {
+			others++
+		}
+	}
+	return candidates[at], others, true
 }
 
 // attempt makes one attempt at the chosen target.
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -175,11 +175,12 @@
 		strconv.FormatBool(o.work.Once),
 		strconv.FormatBool(o.work.Inherited),
 		strconv.FormatBool(o.work.Rerun),
+		strconv.FormatBool(o.work.Movable),
 	}, ";")
 }
 
 // orderParts is the number of fields that encodeOrder writes.
-const orderParts = 7
+const orderParts = 8
 
 // decodeOrder reads what encodeOrder wrote.
 func decodeOrder(text string, now time.Time) (gate.Work, error) {
@@ -193,13 +194,14 @@
 	once, onceErr := strconv.ParseBool(parts[4])
 	inherited, inheritedErr := strconv.ParseBool(parts[5])
 	rerun, rerunErr := strconv.ParseBool(parts[6])
-	for _, err := range []error{rankErr, dueErr, repeatErr, onceErr, inheritedErr, rerunErr} {
+	movable, movableErr := strconv.ParseBool(parts[7])
+	for _, err := range []error{rankErr, dueErr, repeatErr, onceErr, inheritedErr, rerunErr, movableErr} {
 		if err != nil {
 			return gate.Work{}, errors.Wrapf(err, "decode order %q", text)
 		}
 	}
 	return gate.Work{
-		Kind: parts[0], Rank: rank, Repeat: repeat, Once: once, Inherited: inherited, Rerun: rerun,
+		Kind: parts[0], Rank: rank, Repeat: repeat, Once: once, Inherited: inherited, Rerun: rerun, Movable: movable,
 		Due: now.Add(time.Duration(due) * time.Millisecond),
 	}, nil
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -30,6 +30,12 @@
 	// nestedMemory is how long slots are kept for calls of targets after the last
 	// one came.
 	nestedMemory = 5 * time.Second
+	// queueMargin is how many mean run times a request in the queue needs to have
+	// left: with one, half of the runs that a full queue starts would end late.
+	queueMargin = 1.3
+	// slowFrom is the speed figure from which on a movable request is sent on: a
+	// run that starts now takes longer by far than one more hop.
+	slowFrom = 250
 	// minRetryAfter is the shortest time that a refused caller is sent away for.
 	minRetryAfter = 50 * time.Millisecond
 	// downRetryAfter is when to come back to a target that can't be reached,
@@ -132,14 +138,21 @@
 	if refused, after := g.closedTo(work, now); refused != "" {
 		return Decision{Refused: refused, RetryAfter: after}
 	}
-	if work.Once {
-		g.seen[work.ID] = trace{at: now}
-	}
 	work.nested = g.callers.nested(work.Kind, work.Caller)
 	if work.nested {
 		g.nestedAt = now
 	}
-	if len(g.queue) == 0 && g.room(work, now) {
+	starts := len(g.queue) == 0 && g.room(work, now)
+	switch {
+	case work.Movable && !starts:
+		return Decision{Refused: RefusedBusy}
+	case work.Movable && g.speed >= slowFrom:
+		return Decision{Refused: RefusedSlow}
+	}
+	if work.Once {
+		g.seen[work.ID] = trace{at: now}
+	}
+	if starts {
 		g.pass(work, now)
 		return Decision{}
 	}
@@ -274,7 +287,8 @@
 	for i := len(g.queue) - 1; i >= 0; i-- {
 		ticket := g.queue[i]
 		start := now.Add(g.wait(i, now))
-		if i < limit && !start.Add(g.pace(ticket.Work.Kind)).After(ticket.Work.latest()) {
+		needed := time.Duration(queueMargin * float64(g.pace(ticket.Work.Kind)))
+		if i < limit && !start.Add(needed).After(ticket.Work.latest()) {
 			continue
 		}
 		g.queue = slices.Delete(g.queue, i, i+1)
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -471,3 +471,57 @@
 		t.Fatalf("share %v after 20 s without a run", share)
 	}
 }
+
+// A request that may go elsewhere does not wait at a target whose load was told
+// too late, nor start at one that has just turned slow.
+func TestMovableRequestIsSentOnAtOnce(t *testing.T) {
+	g := New(Settings{QueueShare: 1, Repeats: RepeatBudget{Ratio: 1, Slack: 10, Window: time.Second}, Remember: time.Second})
+	now := time.Now()
+	g.Reported(Report{Instance: "i", Service: "s", Slots: 1, Born: 1}, now)
+	movable := func(id string) Work {
+		return Work{ID: id, Kind: "k", Once: true, Movable: true, Due: now.Add(time.Second), Deadline: now.Add(time.Second)}
+	}
+	if d := g.Offer(movable("1"), now); !d.Passed() {
+		t.Fatalf("a free target refused a movable request: %v", d.Refused)
+	}
+	if d := g.Offer(movable("2"), now); d.Refused != RefusedBusy {
+		t.Errorf("a busy target answered %+v", d)
+	}
+	settled := movable("2")
+	settled.Movable = false
+	if d := g.Offer(settled, now); d.Wait == nil {
+		t.Errorf("the request that was sent on could not come back to wait: %+v", d)
+	}
+	g.Done(movable("1"), time.Millisecond, false, now)
+	g.Done(settled, time.Millisecond, false, now)
+	g.Sampled(500)
+	if d := g.Offer(movable("3"), now); d.Refused != RefusedSlow {
+		t.Errorf("a slow target answered %+v", d)
+	}
+	slow := movable("3")
+	slow.Movable = false
+	if d := g.Offer(slow, now); !d.Passed() {
+		t.Errorf("a slow target refused a request that has nowhere else to go: %v", d.Refused)
+	}
+}
+
+// In a burst the queue keeps only what will be done in time, with something to
+// spare for runs that take longer than the mean.
+func TestQueueKeepsOnlyWhatEndsInTime(t *testing.T) {
+	g := New(Settings{QueueShare: 10, Repeats: RepeatBudget{Ratio: 1, Slack: 10, Window: time.Second}, Remember: time.Second})
+	now := time.Now()
+	g.Reported(Report{Instance: "i", Service: "s", Slots: 1, Born: 1}, now)
+	work := func(id string, aim time.Duration) Work {
+		return Work{ID: id, Kind: "k", Due: now.Add(aim), Deadline: now.Add(time.Minute)}
+	}
+	const run = 100 * time.Millisecond
+	g.Offer(work("1", time.Second), now)
+	g.Done(work("1", time.Second), run, false, now)
+	g.Offer(work("2", time.Second), now)
+	if d := g.Offer(work("3", 2*run+run/10), now); d.Refused != RefusedFull {
+		t.Errorf("a request that would start too late for most runs got %+v", d)
+	}
+	if d := g.Offer(work("4", 2*run+run/2), now); d.Wait == nil {
+		t.Errorf("a request with time to spare was refused: %+v", d)
+	}
+}
--- a/process/gate/work.go
+++ b/process/gate/work.go
@@ -26,6 +26,9 @@
 	Inherited bool
 	// Once tells that the request must not run twice.
 	Once bool
+	// Movable tells that the sender has other targets to ask: a target that can't
+	// start the request now at its usual speed refuses it.
+	Movable bool
 
 	// nested tells that a request which is already running waits for this one.
 	nested bool
@@ -58,6 +61,10 @@
 	RefusedFull Refusal = "full"
 	// RefusedCold means that the cold target bears no more at the moment.
 	RefusedCold Refusal = "cold"
+	// RefusedBusy means that a movable request would have to wait here.
+	RefusedBusy Refusal = "busy"
+	// RefusedSlow means that the target would work slowly on a movable request.
+	RefusedSlow Refusal = "slow"
 	// RefusedBudget means that the budget of repeats is spent.
 	RefusedBudget Refusal = "repeat-budget"
 	// RefusedLate means that the time left is too short.
