--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -43,7 +43,7 @@
 	// nearSample how many of them come from the own data centre before the rest.
 	// Nodes that compared all targets by figures of the same age would overrun
 	// the one last told idle.
-	nearSample = 3
+	nearSample = 4
 	sample     = 5
 )
 
