Wait out a target's slow spells; find sooner that a full target slows down

Spells are short. So a gate that has just turned slow starts nothing for up to 200 ms. And the fleet knew of the slowdown of full targets only at second 13, after the burst: the comparison took 96 runs of either sort, counted at the end of a run, slow spells among them. Now 48, by the load at the start, without slow spells, the least factor of all kinds (a slowdown hits all, waiting for calls some), three in a row agreeing.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -150,9 +150,12 @@
 	g.gate.Unsent(o.work, time.Now())
 }
 
-func (g *guard) done(o *order, took time.Duration, failed bool) {
+func (g *guard) done(o *order, began gate.State, took time.Duration, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !failed {
+		g.gate.Ran(o.work.Kind, took, began)
+	}
 	g.gate.Done(o.work, took, failed, time.Now())
 }
 
@@ -233,7 +236,7 @@
 		return result{outcome: request.NotRun, reason: "target-refused", arrived: true, retryAfter: targetRefusedAfter}
 	}
 	good := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
-	g.done(o, took, !good)
+	g.done(o, state, took, !good)
 	if good && answer.Header.Get(platform.HeaderSignature) == "" {
 		return result{outcome: request.Unknown, reason: "unsigned-answer", arrived: true, err: errors.New("the answer has no signature")}
 	}
@@ -258,7 +261,7 @@
 		return
 	}
 	g.mu.Lock()
-	step := g.gate.Sampled(sample.Speed)
+	step := g.gate.Sampled(sample.Speed, time.Now())
 	g.answeredAt = time.Now()
 	g.mu.Unlock()
 	if step {
--- a/process/gate/crowding.go
+++ b/process/gate/crowding.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -13,13 +14,16 @@
 	roomyTo = 0.6
 	// crowdQuantile is the quantile of run times that is compared: low enough to
 	// leave out runs that waited for calls or for a slow spell of the VM.
-	crowdQuantile = 0.1
+	crowdQuantile = 0.3
 	// keptRuns is how many runs of either sort are kept, and enoughRuns how many
-	// a comparison takes.
-	keptRuns, enoughRuns = 128, 96
+	// a comparison takes: a burst is over after a few hundred.
+	keptRuns, enoughRuns = 128, 48
 	// compareEvery is how many crowded runs go by between two comparisons, and
 	// agreeing how many in a row have to say the same.
-	compareEvery, agreeing = 48, 2
+	compareEvery, agreeing = 16, 3
+	// leastRun is the shortest run time that is compared: shorter ones are mostly
+	// the way to the target.
+	leastRun = 5 * time.Millisecond
 	// sameService and anyService are how many other targets that slow down settle
 	// it for this one as well: of its service, or of all together.
 	sameService, anyService = 2, 4
@@ -105,18 +109,22 @@
 	times.add(took.Seconds())
 }
 
-// slowdown returns the factor by which runs take longer at a crowded target,
-// for the kind of which most is known, or 1.
+// slowdown returns the factor by which runs take longer at a crowded target, or
+// 1 while too little is known: the least of all kinds, since a target that slows
+// down does so for all, and some kinds also wait for calls.
 func (c *crowding) slowdown() float64 {
-	factor, most := 1.0, 0
+	least := math.Inf(1)
 	for kind, crowded := range c.crowded {
 		roomy := c.roomy[kind]
 		if roomy == nil || len(roomy.times) < enoughRuns || len(crowded.times) < enoughRuns {
 			continue
 		}
-		if known := len(roomy.times) + len(crowded.times); known > most {
-			factor, most = crowded.low()/roomy.low(), known
+		if low := roomy.low(); low >= leastRun.Seconds() {
+			least = min(least, crowded.low()/low)
 		}
 	}
-	return factor
+	if math.IsInf(least, 1) {
+		return 1
+	}
+	return least
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -36,6 +36,9 @@
 	// slowFrom is the speed figure from which on a movable request is sent on: a
 	// run that starts now takes longer by far than one more hop.
 	slowFrom = 250
+	// spellHold is how long requests wait for a slow spell to end: about the length
+	// of one, and less than it would add to a run.
+	spellHold = 200 * time.Millisecond
 	// minRetryAfter is the shortest time that a refused caller is sent away for.
 	minRetryAfter = 50 * time.Millisecond
 	// downRetryAfter is when to come back to a target that can't be reached,
@@ -57,8 +60,10 @@
 	// with the start of the life in Unix milliseconds.
 	departed map[string]int64
 
-	speed   int
-	running int
+	speed int
+	// slowSince is when the target turned slow.
+	slowSince time.Time
+	running   int
 	// runningRepeats counts those of them that are repeats.
 	runningRepeats int
 	queue          []*Ticket
@@ -144,10 +149,10 @@
 	}
 	starts := len(g.queue) == 0 && g.room(work, now)
 	switch {
-	case work.Movable && !starts:
-		return Decision{Refused: RefusedBusy}
 	case work.Movable && g.speed >= slowFrom:
 		return Decision{Refused: RefusedSlow}
+	case work.Movable && !starts:
+		return Decision{Refused: RefusedBusy}
 	}
 	if work.Once {
 		g.seen[work.ID] = trace{at: now}
@@ -235,12 +240,18 @@
 	if !work.nested {
 		limit = max(1, limit-g.reserve(now))
 	}
-	if g.running >= limit {
+	if g.running >= limit || g.slowSpell(now) {
 		return false
 	}
 	return !g.cold(now) || g.arrivals.count(now) < g.coldLimit()
 }
 
+// slowSpell reports whether the target has just turned slow. Most such spells
+// are short, and what starts in one is slow to its end.
+func (g *Gate) slowSpell(now time.Time) bool {
+	return g.speed >= slowFrom && now.Sub(g.slowSince) < spellHold
+}
+
 // pass counts a request that goes to the target.
 func (g *Gate) pass(work Work, now time.Time) {
 	g.running++
@@ -340,7 +351,6 @@
 func (g *Gate) Done(work Work, took time.Duration, failed bool, now time.Time) {
 	if !failed {
 		g.learn(work.Kind, took)
-		g.crowding.ran(work.Kind, took, g.running, g.target.Slots)
 	}
 	g.failing.ran(failed, now)
 	g.failing.broken = 0
@@ -348,6 +358,14 @@
 	g.advance(now)
 }
 
+// Ran takes in how long a run took that succeeded, and the state of the gate
+// when it was sent to the target. Runs at a slow target are left out.
+func (g *Gate) Ran(kind string, took time.Duration, began State) {
+	if began.Speed < slowFrom && g.speed < slowFrom {
+		g.crowding.ran(kind, took, began.Running, g.target.Slots)
+	}
+}
+
 // Cancelled ends a request that reached the target and was given up.
 func (g *Gate) Cancelled(work Work, now time.Time) {
 	g.ended(work)
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -91,12 +91,16 @@
 // Sampled takes in a load sample of the target: how many requests it runs and
 // how long work takes. It reports whether the speed changed by a step worth
 // telling.
-func (g *Gate) Sampled(speed int) bool {
+func (g *Gate) Sampled(speed int, now time.Time) bool {
 	if speed <= 0 {
 		return false
 	}
 	old := g.speed
 	g.speed = speed
+	if old < slowFrom && speed >= slowFrom {
+		g.slowSince = now
+	}
+	g.advance(now)
 	return speed*speedStep > old*(speedStep+1) || old*speedStep > speed*(speedStep+1)
 }
 
