--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -13,8 +13,8 @@
 	// usualSpeed is the speed figure of a target that is not slowed down.
 	usualSpeed = 100
 	// slowCost is what a target costs that works at five times the usual time. A
-	// slow spell mostly ends before the run does.
-	slowCost = 0.5
+	// run is slow to its end, but the spell may be over before it starts.
+	slowCost = 1.5
 	// slowSpan is the rise of the speed figure that costs slowCost.
 	slowSpan = 400
 	// loadCost is what a target costs whose slots are all taken: it spreads the
