Wait out slow spells for 400 ms, but not with calls of targets

Spells follow each other by chance, so two or three in a row are common; a call of a target takes less than the wait would.

--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -36,9 +36,9 @@
 	// slowFrom is the speed figure from which on a movable request is sent on: a
 	// run that starts now takes longer by far than one more hop.
 	slowFrom = 250
-	// spellHold is how long requests wait for a slow spell to end: about the length
-	// of one, and less than it would add to a run.
-	spellHold = 200 * time.Millisecond
+	// spellHold is how long requests wait for a slow spell to end: two or three
+	// spells, and less than a slow run adds. Calls of targets are too short for it.
+	spellHold = 400 * time.Millisecond
 	// minRetryAfter is the shortest time that a refused caller is sent away for.
 	minRetryAfter = 50 * time.Millisecond
 	// downRetryAfter is when to come back to a target that can't be reached,
@@ -240,7 +240,7 @@
 	if !work.nested {
 		limit = max(1, limit-g.reserve(now))
 	}
-	if g.running >= limit || g.slowSpell(now) {
+	if g.running >= limit || !work.nested && g.slowSpell(now) {
 		return false
 	}
 	return !g.cold(now) || g.arrivals.count(now) < g.coldLimit()
