--- a/gateway/events.go
+++ b/gateway/events.go
@@ -80,7 +80,11 @@
 // gateRefused tells of a request that the gate of the own target refused.
 func (e *events) gateRefused(o *order, reason gate.Refusal, after time.Duration, load fleet.Load) {
 	e.meters.refused(reason)
-	e.journal.Log(journal.Failure, "gate_refused", "request", o.work.ID, "route", o.work.Kind, "reason", string(reason),
+	class := journal.Failure
+	if reason == gate.RefusedBusy || reason == gate.RefusedSlow {
+		class = journal.Routine // the sender asks another target
+	}
+	e.journal.Log(class, "gate_refused", "request", o.work.ID, "route", o.work.Kind, "reason", string(reason),
 		"running", load.Running, "waiting", load.Waiting, "speed", load.Speed, "open", load.Open,
 		"repeat", o.work.Repeat, "retry_after_ms", after.Milliseconds())
 }
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -66,10 +66,14 @@
 const maxFormer = 4
 
 // Introduce makes a node known before it was heard. A node that is known at
-// another address keeps that one while it is heard there.
+// another address keeps that one while it is heard there. One whose address
+// belongs to a node that is heard there is not taken in.
 func (t *Table) Introduce(name, dataCentre, hop, contact string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if holder := t.at(contact, name); holder != nil && t.heard(holder, now) {
+		return
+	}
 	p := t.peers[name]
 	if p == nil {
 		t.peers[name] = &Peer{
@@ -109,6 +113,9 @@
 		p.former = p.former[max(0, len(p.former)-maxFormer):]
 		p.avoidUntil = time.Time{}
 	}
+	if fresh || p.Contact != contact {
+		t.displace(contact, s.Node)
+	}
 	p.Status = s
 	p.Contact = contact
 	p.HeardAt = now
@@ -118,6 +125,27 @@
 	return true, fresh
 }
 
+// at returns a node other than the named one that takes datagrams at contact,
+// or nil.
+func (t *Table) at(contact, except string) *Peer {
+	for name, p := range t.peers {
+		if name != except && p.Contact == contact {
+			return p
+		}
+	}
+	return nil
+}
+
+// displace drops the node that had the contact of the named one before. While
+// both are kept, the new one is told when the old one was last heard, and takes
+// itself for unheard.
+func (t *Table) displace(contact, by string) {
+	if old := t.at(contact, by); old != nil {
+		delete(t.lives, old.Status.Incarnation)
+		delete(t.peers, old.Status.Node)
+	}
+}
+
 // MergeBeat takes in a beat. One of a life that no status told of is dropped.
 func (t *Table) MergeBeat(b Beat, now time.Time) {
 	t.mu.Lock()
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -141,6 +141,25 @@
 
 // However many nodes there are, and whichever of them reach the store, a few
 // are on duty, and in a fleet that is whole they agree on who.
+// A target and the node beside it end, and their address goes to a new node:
+// the others tell only the new one, and know that they hear each other.
+func TestNodeThatGetsTheAddressOfAnotherReplacesIt(t *testing.T) {
+	for name, introduced := range map[string]bool{"found by its statuses": false, "found at the store before": true} {
+		table := newTestTable()
+		table.Merge(status("gone", 1, 1), "10.0.0.9:1", start)
+		later := start.Add(10 * time.Second)
+		if introduced {
+			table.Introduce("new", "dc", "10.0.0.9:2", "10.0.0.9:1", later)
+		}
+		table.Merge(status("new", 2, 1), "10.0.0.9:1", later)
+		table.Introduce("gone", "dc", "10.0.0.9:2", "10.0.0.9:1", later)
+		peers := table.Peers(later)
+		if len(peers) != 1 || peers[0].Status.Node != "new" {
+			t.Errorf("%s: told are %+v", name, peers)
+		}
+	}
+}
+
 func TestAFewNodesFollowTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 40).Draw(t, "nodes")
@@ -159,7 +178,7 @@
 				if i != j {
 					s := status(fmt.Sprintf("n%02d", j), uint64(j+1), 1)
 					s.ReachesStore = reaches[j]
-					table.Merge(s, "c", start)
+					table.Merge(s, s.Node, start)
 				}
 			}
 			duty := table.StoreDuty(fmt.Sprintf("n%02d", i), reaches[i], 3, start)
@@ -192,7 +211,7 @@
 				}
 				s := status(name(j), uint64(j+1), 1)
 				s.Service = service(j)
-				tables[i].Merge(s, "c", start)
+				tables[i].Merge(s, s.Node, start)
 			}
 			tables[i].Classify(name(i), service(i), start)
 		}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -1,10 +1,6 @@
 package gate
 
-import (
-	"math"
-	"slices"
-	"time"
-)
+import "time"
 
 // Settings of a Gate.
 type Settings struct {
@@ -19,26 +15,8 @@
 }
 
 const (
-	// coldSpan is the span in which arrivals at a cold target are counted.
-	coldSpan = time.Second
-	// usualSpeed is the speed figure of a target that is not slowed down.
-	usualSpeed = 100
-	// paceWeight is the weight of the newest run in the mean of a kind.
-	paceWeight = 0.1
-	// defaultPace stands in for the run time of a kind that has not run yet.
-	defaultPace = 100 * time.Millisecond
-	// nestedMemory is how long slots are kept for calls of targets after the last
-	// one came.
-	nestedMemory = 5 * time.Second
-	// queueMargin is how many mean run times a request in the queue needs to have
-	// left: with one, half of the runs that a full queue starts would end late.
-	queueMargin = 1.3
-	// slowFrom is the speed figure from which on a movable request is sent on: a
-	// run that starts now takes longer by far than one more hop.
-	slowFrom = 250
-	// spellHold is how long requests wait for a slow spell to end: two or three
-	// spells, and less than a slow run adds. Calls of targets are too short for it.
-	spellHold = 400 * time.Millisecond
+	// UsualSpeed is the speed figure of a target that is not slowed down.
+	UsualSpeed = 100
 	// minRetryAfter is the shortest time that a refused caller is sent away for.
 	minRetryAfter = 50 * time.Millisecond
 	// downRetryAfter is when to come back to a target that can't be reached,
@@ -99,7 +77,7 @@
 func New(settings Settings) *Gate {
 	return &Gate{
 		settings: settings,
-		speed:    usualSpeed,
+		speed:    UsualSpeed,
 		paces:    make(map[string]float64),
 		arrivals: window{span: coldSpan},
 		firsts:   window{span: settings.Repeats.Window},
@@ -113,17 +91,6 @@
 	}
 }
 
-// Ticket is a request that waits for room.
-type Ticket struct {
-	// Work is the request.
-	Work Work
-	// Result receives the end of the wait, once: an empty Refusal lets the
-	// request pass.
-	Result chan Refusal
-	// RetryAfter is when a refused request may come back. Set before Result.
-	RetryAfter time.Duration
-}
-
 // Decision answers an Offer. Without a refusal or a ticket the request passes.
 type Decision struct {
 	// Refused says why the request may not pass, if it may not.
@@ -207,51 +174,6 @@
 	return g.settings.Repeats.allows(firsts, g.repeats.count(now), g.peers, 1)
 }
 
-// Limit returns how many requests may run at once.
-func (g *Gate) Limit() int {
-	if g.target == nil {
-		return 0
-	}
-	limit := float64(g.target.Slots)
-	if g.crowding.spared() {
-		limit *= crowdedFrom
-	}
-	return max(1, int(limit))
-}
-
-// cold reports whether the target is cold.
-func (g *Gate) cold(now time.Time) bool { return now.Before(g.coldUntil) }
-
-// coldLimit returns how many requests a cold target may get in a second.
-func (g *Gate) coldLimit() int { return max(1, int(g.coldRate)) }
-
-// reserve returns how many slots are kept for calls of targets. A call that is
-// refused spoils the run that waits for it, and most calls are short.
-func (g *Gate) reserve(now time.Time) int {
-	if g.nestedAt.IsZero() || now.Sub(g.nestedAt) > nestedMemory {
-		return 0
-	}
-	return int(math.Ceil(g.settings.CallShare * float64(g.Limit())))
-}
-
-// room reports whether the request may start now.
-func (g *Gate) room(work Work, now time.Time) bool {
-	limit := g.Limit()
-	if !work.nested {
-		limit = max(1, limit-g.reserve(now))
-	}
-	if g.running >= limit || !work.nested && g.slowSpell(now) {
-		return false
-	}
-	return !g.cold(now) || g.arrivals.count(now) < g.coldLimit()
-}
-
-// slowSpell reports whether the target has just turned slow. Most such spells
-// are short, and what starts in one is slow to its end.
-func (g *Gate) slowSpell(now time.Time) bool {
-	return g.speed >= slowFrom && now.Sub(g.slowSince) < spellHold
-}
-
 // pass counts a request that goes to the target.
 func (g *Gate) pass(work Work, now time.Time) {
 	g.running++
@@ -269,83 +191,6 @@
 	}
 }
 
-// enqueue puts a ticket behind those that are as urgent.
-func (g *Gate) enqueue(ticket *Ticket, now time.Time) {
-	at := len(g.queue)
-	for at > 0 && moreUrgent(&ticket.Work, &g.queue[at-1].Work) {
-		at--
-	}
-	g.queue = slices.Insert(g.queue, at, ticket)
-	g.refuseHopeless(now)
-}
-
-// moreUrgent reports whether a goes before b: first what others wait for, then
-// the more urgent rank, then what is due earlier.
-func moreUrgent(a, b *Work) bool {
-	if a.nested != b.nested {
-		return a.nested
-	}
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
-	return a.Due.Before(b.Due)
-}
-
-// refuseHopeless refuses those in the queue that would start too late, from
-// the back, so that each refusal brings the others forward.
-func (g *Gate) refuseHopeless(now time.Time) {
-	limit := max(1, int(float64(g.target.Slots)*g.settings.QueueShare))
-	for i := len(g.queue) - 1; i >= 0; i-- {
-		ticket := g.queue[i]
-		start := now.Add(g.wait(i, now))
-		needed := time.Duration(queueMargin * float64(g.pace(ticket.Work.Kind)))
-		if i < limit && !start.Add(needed).After(ticket.Work.latest()) {
-			continue
-		}
-		g.queue = slices.Delete(g.queue, i, i+1)
-		g.refuse(ticket, g.fullReason(now), g.wait(len(g.queue), now))
-	}
-}
-
-func (g *Gate) fullReason(now time.Time) Refusal {
-	if g.cold(now) {
-		return RefusedCold
-	}
-	return RefusedFull
-}
-
-// refuse ends a wait.
-func (g *Gate) refuse(ticket *Ticket, reason Refusal, after time.Duration) {
-	if ticket.Work.Once {
-		delete(g.seen, ticket.Work.ID)
-	}
-	ticket.RetryAfter = max(after, minRetryAfter)
-	ticket.Result <- reason
-}
-
-// wait estimates the time until a request with that many ahead of it starts.
-func (g *Gate) wait(ahead int, now time.Time) time.Duration {
-	perStart := g.mean / float64(max(1, g.Limit()))
-	if g.mean == 0 {
-		perStart = defaultPace.Seconds() / float64(max(1, g.Limit()))
-	}
-	estimate := time.Duration(float64(ahead+1) * perStart * float64(time.Second))
-	if g.cold(now) {
-		spacing := time.Duration(float64(ahead) / float64(g.coldLimit()) * float64(time.Second))
-		estimate = max(estimate, g.arrivals.free(now, g.coldLimit())+spacing)
-	}
-	return estimate
-}
-
-// pace returns the expected run time of a kind of request.
-func (g *Gate) pace(kind string) time.Duration {
-	seconds, ok := g.paces[kind]
-	if !ok {
-		return defaultPace
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // Done ends a request that reached the target. Took is how long it ran; a
 // failed one says nothing about the pace.
 func (g *Gate) Done(work Work, took time.Duration, failed bool, now time.Time) {
@@ -407,61 +252,6 @@
 	return float64(g.runningRepeats) / float64(max(1, g.running))
 }
 
-func (g *Gate) learn(kind string, took time.Duration) {
-	old, ok := g.paces[kind]
-	if !ok {
-		g.paces[kind] = took.Seconds()
-	} else {
-		g.paces[kind] = old + paceWeight*(took.Seconds()-old)
-	}
-	if g.mean == 0 {
-		g.mean = took.Seconds()
-	}
-	g.mean += paceWeight * (took.Seconds() - g.mean)
-}
-
-// Cancel takes a request out of the queue. It reports whether it was there; if
-// not, its ticket has a result.
-func (g *Gate) Cancel(ticket *Ticket) bool {
-	at := slices.Index(g.queue, ticket)
-	if at < 0 {
-		return false
-	}
-	g.queue = slices.Delete(g.queue, at, at+1)
-	delete(g.seen, ticket.Work.ID)
-	return true
-}
-
-// advance lets waiting requests pass while there is room.
-func (g *Gate) advance(now time.Time) {
-	if len(g.queue) == 0 {
-		return
-	}
-	if refused, after := g.closedTo(Work{Deadline: now.Add(time.Hour)}, now); refused != "" {
-		g.refuseAll(refused, after)
-		return
-	}
-	for len(g.queue) > 0 && g.room(g.queue[0].Work, now) {
-		ticket := g.queue[0]
-		g.queue = slices.Delete(g.queue, 0, 1)
-		if !ticket.Work.Deadline.After(now) {
-			g.refuse(ticket, RefusedLate, minRetryAfter)
-			continue
-		}
-		g.pass(ticket.Work, now)
-		ticket.Result <- ""
-	}
-	g.refuseHopeless(now)
-}
-
-func (g *Gate) refuseAll(reason Refusal, after time.Duration) {
-	queue := g.queue
-	g.queue = nil
-	for _, ticket := range queue {
-		g.refuse(ticket, reason, after)
-	}
-}
-
 // Tick lets time pass: a cold target takes one more now and then, and ids that
 // are no longer of use are forgotten.
 func (g *Gate) Tick(now time.Time) {
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -6,12 +6,11 @@
 	"time"
 
 	"verbenatrestle/process/fleet"
+	"verbenatrestle/process/gate"
 )
 
 // Costs of a candidate, in run times of a request.
 const (
-	// usualSpeed is the speed figure of a target that is not slowed down.
-	usualSpeed = 100
 	// slowCost is what a target costs that works at five times the usual time. A
 	// run is slow to its end, but the spell may be over before it starts.
 	slowCost = 1.5
@@ -95,7 +94,7 @@
 	if load > 1 {
 		score += load - 1
 	}
-	slow := float64(max(c.Speed-usualSpeed, 0)) / slowSpan
+	slow := float64(max(c.Speed-gate.UsualSpeed, 0)) / slowSpan
 	score += slowCost * slow * max(load, 1)
 	if c.ColdLeft > 0 {
 		score += coldCost
