--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -150,6 +150,12 @@
 	g.gate.Unsent(o.work, time.Now())
 }
 
+func (g *guard) shed(o *order) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Shed(o.work, time.Now())
+}
+
 func (g *guard) done(o *order, began gate.State, took time.Duration, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -229,9 +235,11 @@
 	g.sampled(answer.Header.Get(platform.HeaderLoad))
 	notRun := answer.Header.Get(platform.HeaderNotRun) != "" || answer.Status == http.StatusMisdirectedRequest
 	if notRun {
-		g.unsent(o)
 		if answer.Status == http.StatusMisdirectedRequest {
+			g.unsent(o)
 			g.broke(state.Instance, errors.New("another target has the address"))
+		} else {
+			g.shed(o)
 		}
 		return result{outcome: request.NotRun, reason: "target-refused", arrived: true, retryAfter: targetRefusedAfter}
 	}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -239,6 +239,13 @@
 	g.advance(now)
 }
 
+// Shed ends a request that the target refused to run though it had a slot for
+// it: what comes next will likely fare alike.
+func (g *Gate) Shed(work Work, now time.Time) {
+	g.failing.ran(true, now)
+	g.Unsent(work, now)
+}
+
 func (g *Gate) ended(work Work) {
 	g.running = max(0, g.running-1)
 	if work.Repeat {
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -562,3 +562,29 @@
 		t.Errorf("a request with time to spare was refused: %+v", d)
 	}
 }
+
+// Most targets of a service refuse part of their requests though their slots are
+// free: that shows as failures, so that those which don't are chosen.
+func TestTargetThatShedsCountsAsFailing(t *testing.T) {
+	g := newTestGate(4)
+	for i := range 20 {
+		w := work(fmt.Sprint(i), start)
+		g.Offer(w, start)
+		if i%2 == 0 {
+			g.Shed(w, start)
+		} else {
+			g.Done(w, time.Millisecond, false, start)
+		}
+	}
+	state := g.State(start)
+	if state.Failing < 0.3 || state.Running != 0 {
+		t.Errorf("a target that sheds half of its requests: %+v", state)
+	}
+	once := work("once", start)
+	once.Once = true
+	g.Offer(once, start)
+	g.Shed(once, start)
+	if d := g.Offer(once, start); !d.Passed() {
+		t.Errorf("a request that was shed and has not run may not come again: %+v", d)
+	}
+}
--- a/request/placement/choose.go
+++ b/request/placement/choose.go
@@ -43,7 +43,10 @@
 	// Nodes that compared all targets by figures of the same age would overrun
 	// the one last told idle.
 	nearSample = 4
-	sample     = 5
+	// mostlyFailing is the share of failing runs, in percent, from which on a
+	// target is compared only if too few others are left.
+	mostlyFailing = 30
+	sample        = 5
 )
 
 // Asker is the node that chooses.
@@ -65,20 +68,24 @@
 	return best
 }
 
-// draw returns the indices of the candidates to compare, in random order.
+// draw returns the indices of the candidates to compare: those of the own data
+// centre first, and those that mostly fail last.
 func draw(candidates []fleet.Candidate, excluded []string, asker Asker, rng *rand.Rand) []int {
-	var near, far []int
+	var near, far, failing []int
 	for _, i := range rng.Perm(len(candidates)) {
 		c := &candidates[i]
 		switch {
 		case slices.Contains(excluded, c.Node):
+		case c.FailingPercent > mostlyFailing:
+			failing = append(failing, i)
 		case c.DataCentre == asker.DataCentre && len(near) < nearSample:
 			near = append(near, i)
 		default:
 			far = append(far, i)
 		}
 	}
-	return append(near, far[:min(len(far), sample-len(near))]...)
+	drawn := append(append(near, far...), failing...)
+	return drawn[:min(len(drawn), sample)]
 }
 
 // Score is the expected cost of a request at the candidate, in run times.
--- a/request/placement/choose_test.go
+++ b/request/placement/choose_test.go
@@ -85,3 +85,26 @@
 		t.Errorf("%d of %d nodes chose the target that was told idle", idle, nodes)
 	}
 }
+
+// All but a few targets of a service refuse most of what they get: the few are
+// found though a choice compares a handful only.
+func TestFewGoodTargetsAreFoundAmongFailingOnes(t *testing.T) {
+	candidates := make([]fleet.Candidate, 23)
+	for i := range candidates {
+		candidates[i] = candidate(fmt.Sprint(i), func(c *fleet.Candidate) {
+			c.FailingPercent = 60
+			if i%8 == 0 {
+				c.FailingPercent, c.DataCentre = 0, "there"
+			}
+		})
+	}
+	for seed := range uint64(200) {
+		if at := Choose(candidates, nil, Asker{DataCentre: "here"}, rand.New(rand.NewPCG(seed, 1))); at%8 != 0 {
+			t.Fatalf("seed %d: chose %d, which fails", seed, at)
+		}
+	}
+	good := []string{"0", "8", "16"}
+	if at := Choose(candidates, good, Asker{DataCentre: "here"}, rand.New(rand.NewPCG(1, 1))); at < 0 {
+		t.Error("the failing ones are not tried when the good ones were")
+	}
+}
