--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # SEEDS are the seeds of a fault soak.
 SEEDS ?= 1 2 3
 
-.PHONY: build demo test check bench overhead agreement faults capacity soak
+.PHONY: build demo test check bench overhead agreement faults capacity soak rounds
 
 build:
 	@mkdir -p $(BIN)
@@ -47,3 +47,9 @@
 
 soak: build
 	@scripts/soak.sh $(SEEDS)
+
+# PAGE is where `make rounds` puts the page of the journal's days.
+PAGE ?= bin/rounds.html
+rounds: build
+	@$(BIN)/vtbench rounds -journal journal -out $(PAGE)
+	@echo $(PAGE)
--- a/cmd/vtbench/main.go
+++ b/cmd/vtbench/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&watchCommand{}, "")
 	subcommands.Register(&tuneCommand{}, "")
 	subcommands.Register(&tableCommand{}, "")
+	subcommands.Register(&roundsCommand{}, "")
 	subcommands.Register(&snapshotCommand{}, "")
 	subcommands.Register(&capacityCommand{}, "")
 	flag.Parse()
