--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -419,12 +419,12 @@
 	now := time.Now()
 	o := &order{}
 	o.work.Kind, o.work.Rank, o.work.Due = "k", 2, now.Add(300*time.Millisecond)
-	o.work.Repeat, o.work.Once, o.work.Rerun, o.work.Inherited = true, true, true, true
+	o.work.Repeat, o.work.Once, o.work.Rerun, o.work.Inherited, o.work.Movable = true, true, true, true, true
 	work, err := decodeOrder(encodeOrder(o, now), now)
 	if err != nil || work != o.work {
 		t.Fatalf("%+v, %v", work, err)
 	}
-	for _, text := range []string{"", "k;1", "k;x;1;true;true;true;true", "k;1;1;yes;true;true;true"} {
+	for _, text := range []string{"", "k;1", "k;x;1;true;true;true;true;true", "k;1;1;yes;true;true;true;true", "k;1;1;true;true;true;true;maybe"} {
 		if _, err := decodeOrder(text, now); err == nil {
 			t.Errorf("%q was read", text)
 		}
