Share the mains and loggers of three programs

vtnode, vtstandin and vtbench had the same main and the same JSON logger; they stand in internal/program now. The stand-ins' log says "time" for what it called "ts".

--- a/cmd/vtbench/main.go
+++ b/cmd/vtbench/main.go
@@ -4,29 +4,18 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
+
+	"verbenatrestle/internal/program"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&watchCommand{}, "")
-	subcommands.Register(&tuneCommand{}, "")
-	subcommands.Register(&tableCommand{}, "")
-	subcommands.Register(&roundsCommand{}, "")
-	subcommands.Register(&snapshotCommand{}, "")
-	subcommands.Register(&capacityCommand{}, "")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	os.Exit(int(subcommands.Execute(ctx)))
+	program.Run(program.Group{Commands: []subcommands.Command{
+		&watchCommand{}, &tuneCommand{}, &tableCommand{}, &roundsCommand{}, &snapshotCommand{}, &capacityCommand{},
+	}})
 }
 
 // exit tells of an error, if there is one, and returns the exit status.
--- a/cmd/vtnode/commands.go
+++ b/cmd/vtnode/commands.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/subcommands"
 
+	"verbenatrestle/internal/program"
 	"verbenatrestle/node"
 )
 
@@ -57,7 +58,7 @@
 	if c.debug {
 		allowed = level.AllowDebug()
 	}
-	return log.With(level.NewFilter(newLogger(), allowed), "node", name)
+	return log.With(level.NewFilter(program.Logger(), allowed), "node", name)
 }
 
 // checkCommand checks a settings file.
--- a/cmd/vtnode/main.go
+++ b/cmd/vtnode/main.go
@@ -13,31 +13,13 @@
 package main
 
 import (
-	"context"
-	"flag"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/go-kit/log"
 	"github.com/google/subcommands"
+
+	"verbenatrestle/internal/program"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&runCommand{}, "")
-	subcommands.Register(&serveCommand{}, "")
-	subcommands.Register(&checkCommand{}, "")
-	subcommands.Register(&traceCommand{}, "")
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	os.Exit(int(subcommands.Execute(ctx)))
-}
-
-// newLogger returns a logger of JSON lines on standard error.
-func newLogger() log.Logger {
-	logger := log.NewJSONLogger(log.NewSyncWriter(os.Stderr))
-	return log.With(logger, "time", log.DefaultTimestampUTC)
+	program.Run(program.Group{Commands: []subcommands.Command{
+		&runCommand{}, &serveCommand{}, &checkCommand{}, &traceCommand{},
+	}})
 }
--- a/cmd/vtstandin/main.go
+++ b/cmd/vtstandin/main.go
@@ -4,35 +4,20 @@
 package main
 
 import (
-	"context"
-	"flag"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/go-kit/log"
 	"github.com/google/subcommands"
+
+	"verbenatrestle/internal/program"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&platformCommand{}, "")
-	subcommands.Register(&targetCommand{}, "")
-	subcommands.Register(&loadCommand{}, "")
-	subcommands.Register(&oracleCommand{}, "")
-	for _, command := range soakCommands() {
-		subcommands.Register(command, "soak")
-	}
-	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	status := subcommands.Execute(ctx)
-	stop()
-	os.Exit(int(status))
+	program.Run(
+		program.Group{Commands: []subcommands.Command{&platformCommand{}, &targetCommand{}, &loadCommand{}, &oracleCommand{}}},
+		program.Group{Name: "soak", Commands: soakCommands()},
+	)
 }
 
-// newLogger returns a logger of JSON lines to the standard error.
+// newLogger returns the logger of a stand-in.
 func newLogger(component string) log.Logger {
-	logger := log.NewJSONLogger(log.NewSyncWriter(os.Stderr))
-	return log.With(logger, "ts", log.DefaultTimestampUTC, "component", component)
+	return log.With(program.Logger(), "component", component)
 }
