Let targets that sent a request on queue it after all

A target that refuses a movable request as busy or slow was then not asked again. In a service of three targets that left one queue of three: TestBurstFillsTheQueuesOfASmallService (six requests at once, three slots, three places to wait) got a 503 in each round. Now such a target is left out of the movable tries only.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -35,8 +35,9 @@
 	rule    *version.Rule
 	table   *routeState
 	started time.Time
-	// tried names the nodes that were asked.
-	tried []string
+	// tried names the nodes that are not to be asked again. Those in sentOn
+	// refused only because the request could go elsewhere.
+	tried, sentOn []string
 	// sends counts the attempts that may have reached a target.
 	sends int
 	// ran tells that an attempt may have run.
@@ -59,7 +60,7 @@
 		if !ok {
 			break
 		}
-		d.order.work.Movable = others > 0 && d.asked < movableTries
+		d.order.work.Movable = others > 0 && d.movable()
 		r := d.attempt(ctx, &candidate)
 		if r.answer != nil || last.answer == nil {
 			last = r
@@ -81,6 +82,18 @@
 	return d.node.shares.next(d.rule)
 }
 
+// movable reports whether the next target takes the request only if it can
+// start it at once.
+func (d *dispatch) movable() bool { return d.asked < movableTries }
+
+// excluded names the nodes that the next attempt must not ask.
+func (d *dispatch) excluded() []string {
+	if d.movable() {
+		return slices.Concat(d.tried, d.sentOn)
+	}
+	return d.tried
+}
+
 // choose chooses the target of the next attempt, and tells how many others
 // there are to ask after it.
 func (d *dispatch) choose() (chosen fleet.Candidate, others int, ok bool) {
@@ -88,12 +101,13 @@
 	candidates := d.node.candidates(d.order.service, d.table, now)
 	rng := d.node.rngs.Get().(*rand.Rand)
 	defer d.node.rngs.Put(rng)
-	at := placement.Choose(candidates, d.tried, placement.Asker{DataCentre: d.node.settings().DataCentre}, rng)
+	excluded := d.excluded()
+	at := placement.Choose(candidates, excluded, placement.Asker{DataCentre: d.node.settings().DataCentre}, rng)
 	if at < 0 {
 		return fleet.Candidate{}, 0, false
 	}
 	for i := range candidates {
-		if i != at && !slices.Contains(d.tried, candidates[i].Node) {
+		if i != at && !slices.Contains(excluded, candidates[i].Node) {
 			others++
 		}
 	}
@@ -102,13 +116,17 @@
 
 // attempt makes one attempt at the chosen target.
 func (d *dispatch) attempt(ctx context.Context, to *fleet.Candidate) result {
-	d.tried = append(d.tried, to.Node)
 	d.asked++
 	d.chosen = *to
 	o := *d.order
 	o.work.Repeat = d.sends > 0
 	o.work.Rerun = d.ran
 	r := d.node.attempt(ctx, to, &o)
+	if r.sentOn() {
+		d.sentOn = append(d.sentOn, to.Node)
+	} else {
+		d.tried = append(d.tried, to.Node)
+	}
 	if r.arrived {
 		d.sends++
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -248,6 +248,29 @@
 }
 
 // The load on the target of a leaving caller ends at once.
+// As many requests at once as a small service has slots and places in its
+// queues: those that were sent on by busy targets may come back to wait there.
+func TestBurstFillsTheQueuesOfASmallService(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigOf(1, "s"))
+	const targets = 3
+	for range targets {
+		f.add(testTarget{service: "s", slots: 1, work: 100 * time.Millisecond})
+	}
+	f.settled(1)
+	for round := range 5 {
+		statuses := make(chan int, 2*targets)
+		for i := range cap(statuses) {
+			go func() { statuses <- f.nodes[0].call(t, http.MethodGet, "/s/1", fmt.Sprintf("%d-%d", round, i), "").status }()
+		}
+		for range cap(statuses) {
+			if status := <-statuses; status != http.StatusOK {
+				t.Errorf("round %d: status %d", round, status)
+			}
+		}
+	}
+}
+
 func TestCallerThatLeavesFreesTheTarget(t *testing.T) {
 	f := newTestFleet(t)
 	f.store.Put("config", "main", standin.ConfigOf(1, "s", "u"))
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -46,6 +46,12 @@
 	return r.answer != nil && r.answer.Status >= http.StatusInternalServerError
 }
 
+// sentOn reports whether a target refused the request only because it could go
+// elsewhere.
+func (r *result) sentOn() bool {
+	return r.reason == string(gate.RefusedBusy) || r.reason == string(gate.RefusedSlow)
+}
+
 // refused returns the result of an attempt that no target ran.
 func refused(reason string, after time.Duration) result {
 	return result{outcome: request.NotRun, reason: reason, retryAfter: after}
