--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -261,7 +261,9 @@
 	for round := range 5 {
 		statuses := make(chan int, 2*targets)
 		for i := range cap(statuses) {
-			go func() { statuses <- f.nodes[0].call(t, http.MethodGet, "/s/1", fmt.Sprintf("%d-%d", round, i), "").status }()
+			go func() {
+				statuses <- f.nodes[0].call(t, http.MethodGet, "/s/1", fmt.Sprintf("%d-%d", round, i), "").status
+			}()
 		}
 		for range cap(statuses) {
 			if status := <-statuses; status != http.StatusOK {
