--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -258,11 +258,15 @@
 		f.add(testTarget{service: "s", slots: 1, work: 100 * time.Millisecond})
 	}
 	f.settled(1)
+	first := f.nodes[0]
+	eventually(t, "all targets are known", func() bool {
+		return len(first.candidates("s", first.config.table(), time.Now())) == targets
+	})
 	for round := range 5 {
 		statuses := make(chan int, 2*targets)
 		for i := range cap(statuses) {
 			go func() {
-				statuses <- f.nodes[0].call(t, http.MethodGet, "/s/1", fmt.Sprintf("%d-%d", round, i), "").status
+				statuses <- first.call(t, http.MethodGet, "/s/1", fmt.Sprintf("%d-%d", round, i), "").status
 			}()
 		}
 		for range cap(statuses) {
