--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -165,6 +165,15 @@
 	}
 }
 
+// targets counts the targets of each service.
+func (f *testFleet) targets() map[string]int {
+	counts := make(map[string]int)
+	for _, n := range f.nodes {
+		counts[n.settings.Service]++
+	}
+	return counts
+}
+
 // settled waits until each node knows the configuration and all targets.
 func (f *testFleet) settled(version uint64) {
 	f.t.Helper()
@@ -174,8 +183,8 @@
 				return false
 			}
 			now := time.Now()
-			for _, other := range f.nodes {
-				if len(n.candidates(other.settings.Service, n.config.table(), now)) == 0 {
+			for service, targets := range f.targets() {
+				if len(n.candidates(service, n.config.table(), now)) != targets {
 					return false
 				}
 			}
