Share the loop of what runs once a period

Five loops (two of the node's own, routing, ownership's ticks, the gateway's tick) were the same ticker and select; wait.Every has it now. Behaviour as before; loops that also wait for something else keep their own. Tests of node, ownership, gateway and wait pass under the race detector.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"verbenatrestle/connection/pipeline"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
 	"verbenatrestle/process/journal"
@@ -163,15 +164,8 @@
 
 // tick does what happens by time alone.
 func (n *Node) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.guard.tick()
-			n.hops.sweep(now)
-		}
-	}
+	wait.Every(ctx, tickEvery, func(now time.Time) {
+		n.guard.tick()
+		n.hops.sweep(now)
+	})
 }
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait has the one wait that everything with a context needs.
+// Package wait has the waits that everything with a context needs.
 package wait
 
 import (
@@ -21,3 +21,17 @@
 		return false
 	}
 }
+
+// Every calls f with the time, once a period, until the context ends.
+func Every(ctx context.Context, period time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -152,21 +152,14 @@
 
 // run looks after the target until the context ends.
 func (t *localTarget) run(ctx context.Context) {
-	ticker := time.NewTicker(targetPoll)
-	defer ticker.Stop()
 	nextReport := time.Now().Add(reportPoll)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			t.tend(ctx, now)
-			if now.After(nextReport) {
-				nextReport = now.Add(reportPoll)
-				go t.askReport(ctx)
-			}
+	wait.Every(ctx, targetPoll, func(now time.Time) {
+		t.tend(ctx, now)
+		if now.After(nextReport) {
+			nextReport = now.Add(reportPoll)
+			go t.askReport(ctx)
 		}
-	}
+	})
 }
 
 // tend opens connections, publishes the state, and notices a silent target.
--- a/node/peers.go
+++ b/node/peers.go
@@ -10,6 +10,7 @@
 
 	"verbenatrestle/connection/peerlink"
 	"verbenatrestle/connection/wire"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/membership"
 	"verbenatrestle/process/ownership"
 	"verbenatrestle/request/quarantine"
@@ -126,14 +127,5 @@
 
 // run ticks membership until the context ends.
 func (p *peers) run(ctx context.Context) {
-	ticker := time.NewTicker(membershipTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			p.send(p.table.Tick(now))
-		}
-	}
+	wait.Every(ctx, membershipTick, func(now time.Time) { p.send(p.table.Tick(now)) })
 }
--- a/node/routing.go
+++ b/node/routing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenatrestle/connection/load"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/membership"
 	"verbenatrestle/process/ownership"
 	"verbenatrestle/request"
@@ -99,18 +100,11 @@
 
 // run tells ownership of changes, a burst at a time, until the context ends.
 func (r *routing) run(ctx context.Context) {
-	ticker := time.NewTicker(ownersRefresh)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if r.ownersDirty.Swap(false) {
-				r.refreshOwners()
-			}
+	wait.Every(ctx, ownersRefresh, func(time.Time) {
+		if r.ownersDirty.Swap(false) {
+			r.refreshOwners()
 		}
-	}
+	})
 }
 
 // refreshOwners tells ownership which nodes there are.
--- a/process/ownership/runner.go
+++ b/process/ownership/runner.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/ownership/claim"
 	"verbenatrestle/process/ownership/timing"
 )
@@ -142,16 +143,7 @@
 }
 
 func (r *Runner) tick() {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-ticker.C:
-			r.do(r.core.Tick(r.clock()))
-		}
-	}
+	wait.Every(r.ctx, tickPeriod, func(time.Time) { r.do(r.core.Tick(r.clock())) })
 }
 
 // SetServices tells which services this deployment has.
