Name a hop's flags once; forget a node in one place

Each flag of an order stood in five places of encodeOrder and decodeOrder, and two places dropped a peer's entry and its life by hand. The header's text is unchanged (TestHopHeadersSurviveAHop, as it was). Behaviour as before; tests of gateway and fleet pass.

--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -165,45 +166,48 @@
 	return h.pool(address).Do(ctx, message, 0)
 }
 
+// orderFlags returns the flags of work that a hop carries, in their order there.
+func orderFlags(w *gate.Work) []*bool {
+	return []*bool{&w.Repeat, &w.Once, &w.Inherited, &w.Rerun, &w.Movable}
+}
+
 // encodeOrder puts what the gate goes by into a header.
 func encodeOrder(o *order, now time.Time) string {
-	return strings.Join([]string{
+	parts := []string{
 		o.work.Kind,
 		strconv.Itoa(o.work.Rank),
 		strconv.FormatInt(o.work.Due.Sub(now).Milliseconds(), 10),
-		strconv.FormatBool(o.work.Repeat),
-		strconv.FormatBool(o.work.Once),
-		strconv.FormatBool(o.work.Inherited),
-		strconv.FormatBool(o.work.Rerun),
-		strconv.FormatBool(o.work.Movable),
-	}, ";")
+	}
+	for _, flag := range orderFlags(&o.work) {
+		parts = append(parts, strconv.FormatBool(*flag))
+	}
+	return strings.Join(parts, ";")
 }
 
-// orderParts is the number of fields that encodeOrder writes.
-const orderParts = 8
+// orderFields is the number of fields before the flags.
+const orderFields = 3
 
 // decodeOrder reads what encodeOrder wrote.
 func decodeOrder(text string, now time.Time) (gate.Work, error) {
+	var work gate.Work
+	flags := orderFlags(&work)
 	parts := strings.Split(text, ";")
-	if len(parts) != orderParts {
-		return gate.Work{}, errors.Errorf("decode order %q: want %d parts", text, orderParts)
+	if len(parts) != orderFields+len(flags) {
+		return gate.Work{}, errors.Errorf("decode order %q: want %d parts", text, orderFields+len(flags))
 	}
 	rank, rankErr := strconv.Atoi(parts[1])
-	due, dueErr := strconv.ParseInt(parts[2], 10, 64)
-	repeat, repeatErr := strconv.ParseBool(parts[3])
-	once, onceErr := strconv.ParseBool(parts[4])
-	inherited, inheritedErr := strconv.ParseBool(parts[5])
-	rerun, rerunErr := strconv.ParseBool(parts[6])
-	movable, movableErr := strconv.ParseBool(parts[7])
-	for _, err := range []error{rankErr, dueErr, repeatErr, onceErr, inheritedErr, rerunErr, movableErr} {
-		if err != nil {
-			return gate.Work{}, errors.Wrapf(err, "decode order %q", text)
-		}
+	due, err := strconv.ParseInt(parts[2], 10, 64)
+	for i, flag := range flags {
+		set, flagErr := strconv.ParseBool(parts[orderFields+i])
+		*flag = set
+		err = cmp.Or(err, flagErr)
+	}
+	if err = cmp.Or(rankErr, err); err != nil {
+		return gate.Work{}, errors.Wrapf(err, "decode order %q", text)
 	}
-	return gate.Work{
-		Kind: parts[0], Rank: rank, Repeat: repeat, Once: once, Inherited: inherited, Rerun: rerun, Movable: movable,
-		Due: now.Add(time.Duration(due) * time.Millisecond),
-	}, nil
+	work.Kind, work.Rank = parts[0], rank
+	work.Due = now.Add(time.Duration(due) * time.Millisecond)
+	return work, nil
 }
 
 // writeHop puts the end of an attempt into the answer to a hop.
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -141,11 +141,16 @@
 // itself for unheard.
 func (t *Table) displace(contact, by string) {
 	if old := t.at(contact, by); old != nil {
-		delete(t.lives, old.Status.Incarnation)
-		delete(t.peers, old.Status.Node)
+		t.drop(old)
 	}
 }
 
+// drop forgets a node.
+func (t *Table) drop(p *Peer) {
+	delete(t.lives, p.Status.Incarnation)
+	delete(t.peers, p.Status.Node)
+}
+
 // MergeBeat takes in a beat. One of a life that no status told of is dropped.
 func (t *Table) MergeBeat(b Beat, now time.Time) {
 	t.mu.Lock()
@@ -357,8 +362,7 @@
 	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
 		p := t.peers[name]
 		if now.Sub(p.LoadAt) > t.settings.ForgetAfter {
-			delete(t.lives, p.Status.Incarnation)
-			delete(t.peers, name)
+			t.drop(p)
 			continue
 		}
 		all = append(all, *p)
