--- a/version/routetable.go
+++ b/version/routetable.go
@@ -1,7 +1,6 @@
 package version
 
 import (
-	"slices"
 	"strings"
 	"time"
 )
@@ -10,10 +9,11 @@
 // without templates and organisations. It is immutable, so any number of
 // goroutines may use it.
 type RouteTable struct {
-	version     uint64
-	rulesByHost map[string][]RouteRule
-	services    map[string]ServiceConfig
-	limits      CallerLimits
+	version uint64
+	// rules holds the rule of each host and path prefix, the host first.
+	rules    map[string]map[string]*RouteRule
+	services map[string]ServiceConfig
+	limits   CallerLimits
 }
 
 // RouteRule is one route of a RouteTable.
@@ -87,17 +87,13 @@
 // one is used.
 func NewRouteTable(version uint64, rules []RouteRule, services []ServiceConfig, limits CallerLimits) *RouteTable {
 	t := &RouteTable{
-		version:     version,
-		rulesByHost: make(map[string][]RouteRule),
-		services:    make(map[string]ServiceConfig, len(services)),
-		limits:      limits,
+		version:  version,
+		rules:    make(map[string]map[string]*RouteRule),
+		services: make(map[string]ServiceConfig, len(services)),
+		limits:   limits,
 	}
-	for _, rule := range rules {
-		rule.Host = canonicalHost(rule.Host)
-		t.rulesByHost[rule.Host] = append(t.rulesByHost[rule.Host], rule)
-	}
-	for _, hostRules := range t.rulesByHost {
-		slices.SortStableFunc(hostRules, func(a, b RouteRule) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	for i := range rules {
+		t.add(rules[i])
 	}
 	for _, service := range services {
 		t.services[service.Name] = service
@@ -105,6 +101,19 @@
 	return t
 }
 
+// add adds a rule, unless there is one with its host and path prefix.
+func (t *RouteTable) add(rule RouteRule) {
+	rule.Host = canonicalHost(rule.Host)
+	byPrefix := t.rules[rule.Host]
+	if byPrefix == nil {
+		byPrefix = make(map[string]*RouteRule)
+		t.rules[rule.Host] = byPrefix
+	}
+	if byPrefix[rule.PathPrefix] == nil {
+		byPrefix[rule.PathPrefix] = &rule
+	}
+}
+
 // Version returns the version number. Later versions have higher numbers.
 func (t *RouteTable) Version() uint64 { return t.version }
 
@@ -120,13 +129,21 @@
 
 // Route returns the route of the host with the longest path prefix that matches,
 // or nil if no route matches. The host may have a port. The path is the one in
-// the request, not percent-decoded. The result must not be modified.
+// the request, not percent-decoded. The result must not be modified. The cost
+// depends on the number of slashes in the path, not on the number of rules.
 func (t *RouteTable) Route(host, path string) *RouteRule {
-	rules := t.rulesByHost[canonicalHost(host)]
-	for i := range rules {
-		if strings.HasPrefix(path, rules[i].PathPrefix) {
-			return &rules[i]
+	byPrefix := t.rules[canonicalHost(host)]
+	if byPrefix == nil {
+		return nil
+	}
+	for prefix := path; ; {
+		slash := strings.LastIndexByte(prefix, '/')
+		if slash < 0 {
+			return nil
+		}
+		if rule := byPrefix[prefix[:slash+1]]; rule != nil {
+			return rule
 		}
+		prefix = prefix[:slash]
 	}
-	return nil
 }
