Reuse encoders and decoders of peer messages

Cause: a new CBOR encoder and decoder for each message cost more than a heartbeat itself. Change: pools of both in the codec; a test keeps messages that share them apart.

--- a/connection/wire/codec.go
+++ b/connection/wire/codec.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"reflect"
+	"sync"
 
 	"github.com/pkg/errors"
 	"github.com/ugorji/go/codec"
@@ -40,6 +41,9 @@
 	handle *codec.CborHandle
 	types  map[Kind]reflect.Type
 	kinds  map[reflect.Type]Kind
+	// encoders and decoders hold *codec.Encoder and *codec.Decoder for reuse. A new
+	// one costs more than the encoding of a short message.
+	encoders, decoders sync.Pool
 }
 
 // NewCodec returns a Codec without registered types.
@@ -49,11 +53,14 @@
 	handle.StructToArray = true
 	handle.MaxInitLen = 1024
 	handle.MaxDepth = 16
-	return &Codec{
+	c := &Codec{
 		handle: handle,
 		types:  make(map[Kind]reflect.Type),
 		kinds:  make(map[reflect.Type]Kind),
 	}
+	c.encoders.New = func() any { return codec.NewEncoderBytes(new([]byte), handle) }
+	c.decoders.New = func() any { return codec.NewDecoderBytes(nil, handle) }
+	return c
 }
 
 // Register registers the type that message points to under a kind. It panics if
@@ -81,12 +88,16 @@
 	if !ok {
 		return nil, errors.Errorf("encode message: %T is not registered", message)
 	}
+	encoder := c.encoders.Get().(*codec.Encoder)
+	defer c.encoders.Put(encoder)
 	var body []byte
-	if err := codec.NewEncoderBytes(&body, c.handle).Encode(message); err != nil {
+	encoder.ResetBytes(&body)
+	if err := encoder.Encode(message); err != nil {
 		return nil, errors.Wrapf(err, "encode %T", message)
 	}
 	var out []byte
-	if err := codec.NewEncoderBytes(&out, c.handle).Encode(&frame{Kind: kind, Body: body}); err != nil {
+	encoder.ResetBytes(&out)
+	if err := encoder.Encode(&frame{Kind: kind, Body: body}); err != nil {
 		return nil, errors.Wrapf(err, "encode frame of %T", message)
 	}
 	return out, nil
@@ -95,8 +106,11 @@
 // Decode decodes a message and returns a pointer to it. The pointer has the type
 // that is registered for the kind of the message.
 func (c *Codec) Decode(data []byte) (any, error) {
+	decoder := c.decoders.Get().(*codec.Decoder)
+	defer c.decoders.Put(decoder)
 	var f frame
-	if err := codec.NewDecoderBytes(data, c.handle).Decode(&f); err != nil {
+	decoder.ResetBytes(data)
+	if err := decoder.Decode(&f); err != nil {
 		return nil, errors.Wrap(err, "decode frame")
 	}
 	t, ok := c.types[f.Kind]
@@ -104,7 +118,8 @@
 		return nil, errors.Errorf("decode frame: kind %d is not registered", f.Kind)
 	}
 	message := reflect.New(t.Elem()).Interface()
-	if err := codec.NewDecoderBytes(f.Body, c.handle).Decode(message); err != nil {
+	decoder.ResetBytes(f.Body)
+	if err := decoder.Decode(message); err != nil {
 		return nil, errors.Wrapf(err, "decode %T", message)
 	}
 	return message, nil
--- a/connection/wire/codec_test.go
+++ b/connection/wire/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 	"time"
 )
@@ -50,3 +51,52 @@
 		}
 	})
 }
+
+// Encoders and decoders are reused. A message that can't be decoded must not change
+// the result of the next one, and messages decoded earlier must keep their content.
+func TestReusedDecodersKeepMessagesApart(t *testing.T) {
+	c := newSampleCodec()
+	var decoded []*sampleMessage
+	for i := range 20 {
+		in := &sampleMessage{Name: strings.Repeat("n", i), Numbers: make([]uint64, i%3), Blob: bytes.Repeat([]byte{byte(i)}, i)}
+		data, err := c.Encode(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Decode(data[:len(data)-1]); err == nil {
+			t.Fatal("a truncated message was decoded")
+		}
+		out, err := c.Decode(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		clear(data)
+		decoded = append(decoded, out.(*sampleMessage))
+	}
+	for i, m := range decoded {
+		if m.Name != strings.Repeat("n", i) || len(m.Numbers) != i%3 || !bytes.Equal(m.Blob, bytes.Repeat([]byte{byte(i)}, i)) {
+			t.Errorf("message %d is %+v", i, m)
+		}
+	}
+}
+
+func BenchmarkCodec(b *testing.B) {
+	c := newSampleCodec()
+	in := &sampleMessage{Numbers: []uint64{1 << 63, 1000, 5, 0, 100, 200, 3}}
+	data, err := c.Encode(in)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("encode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = c.Encode(in)
+		}
+	})
+	b.Run("decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = c.Decode(data)
+		}
+	})
+}
