Keep what may have run until nobody can ask for it any more

Causes, found by reading (docs/PROOFS.md), each with a test that failed on: a gate forgot a non-idempotent request 15 s after its admission, also while it ran or waited (TestLongRunIsRememberedToItsEnd, TestWaitingRequestIsRemembered); leaving the queue lifted the fence of an id for idempotent requests (TestCancelledIdempotentRequestKeepsFence); a repeated fence kept its first time (TestRepeatedFenceIsRenewed); a write to the store that was answered 5xx with a body that can't be read counted as without effect (TestWriteWithUnreadableErrorIsUnknown, TestStoreWriteWithUnreadableBodyIsUnknown). Change: a request is remembered while it is active, and then for the dedup window after its end and its deadline; a full table refuses (dedup-full) and forgets nothing. TestConfirmedFenceIsTrue draws orders of admissions, ends, fences and pauses; it failed after 2 histories before.

--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -12,8 +12,9 @@
 	NestedShare float64
 	// RetryBudget limits the sends beyond the first.
 	RetryBudget RetryBudget
-	// DedupWindow is how long the ids of non-idempotent requests are kept to
-	// detect duplicates, and those of fenced requests to refuse them.
+	// DedupWindow is how long the ids of non-idempotent requests are kept after their
+	// end and their deadline to detect duplicates, and those of fenced requests to
+	// refuse them.
 	DedupWindow time.Duration
 }
 
@@ -68,9 +69,8 @@
 	// serviceTargets is the number of targets of the service, this one included.
 	serviceTargets int
 
-	// seen holds the non-idempotent and fenced requests of the last DedupWindow, by
-	// id. Those that were not sent or that the target refused to run are removed.
-	seen         map[string]seenRequest
+	// seen remembers the non-idempotent and the fenced requests.
+	seen         seenRequests
 	callerCounts callerCounts
 	// saturation detects whether the target slows down when it is nearly full, in
 	// which case its limit is lowered.
@@ -80,13 +80,6 @@
 	nestedAt time.Time
 }
 
-// seenRequest records a non-idempotent request that was admitted or fenced, or
-// that waits.
-type seenRequest struct {
-	at     time.Time
-	fenced bool
-}
-
 // New returns a gate without a target. It refuses every request until
 // ApplyReport.
 func New(settings Settings) *Gate {
@@ -99,7 +92,7 @@
 		retries:        window{span: settings.RetryBudget.Window},
 		possibleReruns: window{span: settings.RetryBudget.Window},
 		serviceTargets: 1,
-		seen:           make(map[string]seenRequest),
+		seen:           newSeenRequests(settings.DedupWindow),
 		callerCounts:   make(callerCounts),
 		saturation:     newSaturationDetector(),
 		deregistered:   make(map[string]int64),
@@ -140,7 +133,7 @@
 		return Decision{Refused: RefusedBusy}
 	}
 	if req.NonIdempotent {
-		g.seen[req.ID] = seenRequest{at: now}
+		g.seen.begin(req.ID)
 	}
 	if starts {
 		g.recordStart(req, now)
@@ -174,11 +167,8 @@
 	case req.Retry && !g.allowsRetry(req, now):
 		return RefusedRetryBudget, minRetryAfter
 	}
-	if old, ok := g.seen[req.ID]; ok && req.NonIdempotent {
-		if old.fenced {
-			return RefusedFenced, 0
-		}
-		return RefusedDuplicate, 0
+	if req.NonIdempotent {
+		return g.seen.precheck(req.ID)
 	}
 	return "", 0
 }
@@ -220,6 +210,7 @@
 	g.failures.observe(failed, now)
 	g.failures.consecutiveBreaks = 0
 	g.release(req)
+	g.arrived(req, now)
 	g.dispatch(now)
 }
 
@@ -236,6 +227,7 @@
 // sender.
 func (g *Gate) Cancelled(req Request, now time.Time) {
 	g.release(req)
+	g.arrived(req, now)
 	g.dispatch(now)
 }
 
@@ -244,6 +236,7 @@
 func (g *Gate) ConnectionLost(req Request, now time.Time) bool {
 	g.failures.observe(true, now)
 	g.release(req)
+	g.arrived(req, now)
 	if g.failures.connectionBroke() && !g.down {
 		g.MarkDown(now)
 		return true
@@ -256,9 +249,7 @@
 // target refused to run. It may be admitted again later.
 func (g *Gate) Unsent(req Request, now time.Time) {
 	g.release(req)
-	if req.NonIdempotent {
-		delete(g.seen, req.ID)
-	}
+	g.forgetUnsent(req)
 	g.dispatch(now)
 }
 
@@ -270,6 +261,13 @@
 	g.Unsent(req, now)
 }
 
+// arrived records the end of a request that reached the target.
+func (g *Gate) arrived(req Request, now time.Time) {
+	if req.NonIdempotent {
+		g.seen.end(req.ID, req.Deadline, now)
+	}
+}
+
 // release frees the slot of a request.
 func (g *Gate) release(req Request) {
 	g.running = max(0, g.running-1)
@@ -285,25 +283,14 @@
 	return float64(g.runningRetries) / float64(max(1, g.running))
 }
 
-// Tick forgets requests older than DedupWindow and admits waiters that may start
-// by now, such as those at a cold target. It has to be called periodically.
+// Tick forgets requests that nobody can ask for any more, and admits waiters that may
+// start by now, such as those at a cold target. It has to be called periodically.
 func (g *Gate) Tick(now time.Time) {
-	for id, t := range g.seen {
-		if now.Sub(t.at) > g.settings.DedupWindow {
-			delete(g.seen, id)
-		}
-	}
+	g.seen.expire(now)
 	g.dispatch(now)
 }
 
 // Fence prevents a non-idempotent request from being admitted within
-// DedupWindow. It returns false if the request was admitted or began to wait
-// within the last DedupWindow, so that it may have run or may still run. A
-// request that was not sent, or that the target refused to run, can be fenced.
-func (g *Gate) Fence(id string, now time.Time) bool {
-	if old, ok := g.seen[id]; ok {
-		return old.fenced
-	}
-	g.seen[id] = seenRequest{at: now, fenced: true}
-	return true
-}
+// DedupWindow. It returns false if the request was admitted or waits here, unless it
+// was not sent or the target refused to run it, as long as its sender may ask.
+func (g *Gate) Fence(id string, now time.Time) bool { return g.seen.fence(id, now) }
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -72,9 +72,7 @@
 
 // refuse ends the wait of a waiter that was taken out of the queue.
 func (g *Gate) refuse(waiter *Waiter, reason Refusal, after time.Duration) {
-	if waiter.Request.NonIdempotent {
-		delete(g.seen, waiter.Request.ID)
-	}
+	g.forgetUnsent(waiter.Request)
 	waiter.RetryAfter = max(after, minRetryAfter)
 	waiter.Result <- reason
 }
@@ -102,10 +100,17 @@
 		return false
 	}
 	g.queue = slices.Delete(g.queue, at, at+1)
-	delete(g.seen, waiter.Request.ID)
+	g.forgetUnsent(waiter.Request)
 	return true
 }
 
+// forgetUnsent forgets a request that was not sent to the target.
+func (g *Gate) forgetUnsent(req Request) {
+	if req.NonIdempotent {
+		g.seen.remove(req.ID)
+	}
+}
+
 // dispatch admits waiters while there is capacity and refuses those that would
 // start too late. If the gate is closed, it refuses all of them.
 func (g *Gate) dispatch(now time.Time) {
--- a/process/gate/request.go
+++ b/process/gate/request.go
@@ -76,7 +76,13 @@
 	// RefusedFenced means that the request is non-idempotent and was fenced by its
 	// sender.
 	RefusedFenced Refusal = "fenced"
-	// RefusedDuplicate means that a non-idempotent request with the same ID was
-	// admitted or began to wait within DedupWindow.
+	// RefusedDuplicate means that a non-idempotent request with the same ID waits,
+	// runs, or has run.
 	RefusedDuplicate Refusal = "seen-before"
+	// RefusedDedupFull means that no more non-idempotent requests can be remembered.
+	RefusedDedupFull Refusal = "dedup-full"
 )
+
+// MayHaveRun reports whether a request that was refused for this reason may have run
+// here, or at another target after it was fenced off here.
+func (r Refusal) MayHaveRun() bool { return r == RefusedDuplicate || r == RefusedFenced }
--- a/process/platform/dialect.go
+++ b/process/platform/dialect.go
@@ -79,6 +79,13 @@
 	BodyErr error
 }
 
+// MayHaveRun reports whether the platform may have executed a call with this
+// response. The statuses of client errors, and 503, mean that it has not.
+func (r *HTTPResponse) MayHaveRun() bool {
+	return r.Status < http.StatusBadRequest ||
+		r.Status >= http.StatusInternalServerError && r.Status != http.StatusServiceUnavailable
+}
+
 // Result is the decoded result of a call.
 type Result struct {
 	// Objects are the objects that a get, list or watch returned.
@@ -168,12 +175,11 @@
 	case response.Status == http.StatusTooManyRequests:
 		return Result{}, &RateLimitedError{RetryAfter: retryAfter(response.Header)}
 	case response.BodyErr != nil:
-		return Result{}, NewCallError(c, false, response.BodyErr)
+		return Result{}, NewCallError(c, response.MayHaveRun(), response.BodyErr)
 	case response.Status == http.StatusPreconditionFailed:
 		return Result{}, &ConflictError{Version: version, Value: response.Body}
 	}
-	mayHaveRun := response.Status >= http.StatusInternalServerError && response.Status != http.StatusServiceUnavailable
-	return Result{}, NewCallError(c, mayHaveRun, errors.Errorf("status %d: %s", response.Status, truncatedBody(response.Body)))
+	return Result{}, NewCallError(c, response.MayHaveRun(), errors.Errorf("status %d: %s", response.Status, truncatedBody(response.Body)))
 }
 
 // decodeSuccess decodes the response to a call that succeeded. version is the
