--- a/cmd/vtnode/main.go
+++ b/cmd/vtnode/main.go
@@ -7,6 +7,7 @@
 //	vtnode serve
 //	vtnode check -settings node.yaml [-serve]
 //	vtnode trace ID FILE...
+//	vtnode status ADDRESS...
 //
 // SIGTERM and SIGINT start a planned stop: the node hands over its ownerships,
 // finishes the requests in flight, and exits with 0.
@@ -20,6 +21,6 @@
 
 func main() {
 	program.Run(program.Group{Commands: []subcommands.Command{
-		&runCommand{}, &serveCommand{}, &checkCommand{}, &traceCommand{},
+		&runCommand{}, &serveCommand{}, &checkCommand{}, &traceCommand{}, &statusCommand{},
 	}})
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"verbenatrestle/platform"
 	"verbenatrestle/version"
@@ -14,9 +15,12 @@
 type configSnapshot struct {
 	// routes is the active configuration, or nil if none has been received yet.
 	routes *version.RouteTable
-	// document is the encoded configuration that routes was decoded from. Peers
-	// can fetch it.
-	document []byte
+	// document is the configuration that routes was decoded from. Peers can fetch
+	// it.
+	document configDocument
+	// source is where routes came from, the store or a peer, and activeSince when.
+	source      string
+	activeSince time.Time
 	// dataCentresOut names the data centres that are out of service, sorted, as
 	// of the store revision dataCentresOutRevision.
 	dataCentresOut         []string
@@ -65,23 +69,48 @@
 	return config.routes.Service(name)
 }
 
-// update activates the encoded configuration if its number is higher than that
-// of the active one. It fails if the document can't be decoded.
-func (c *configHolder) update(document []byte, source string) error {
-	routes, err := platform.DecodeRoutes(document)
+// update activates the encoded configuration of the store if its number is higher
+// than that of the active one. It fails if the text can't be decoded.
+func (c *configHolder) update(text []byte, source string) error {
+	routes, err := platform.DecodeRoutes(text)
+	if err != nil || routes.Version() <= c.snapshot().number() {
+		return err
+	}
+	document, err := newConfigDocument(text)
+	if err != nil {
+		return err
+	}
+	c.activate(routes, document, source)
+	return nil
+}
+
+// updateDocument is like update for a document of a peer.
+func (c *configHolder) updateDocument(document configDocument, source string) error {
+	text, err := document.text()
 	if err != nil {
 		return err
 	}
+	routes, err := platform.DecodeRoutes(text)
+	if err != nil {
+		return err
+	}
+	c.activate(routes, document, source)
+	return nil
+}
+
+// activate publishes a configuration if its number is higher than that of the active
+// one.
+func (c *configHolder) activate(routes *version.RouteTable, document configDocument, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.snapshot()
 	if routes.Version() <= before.number() {
-		return nil
+		return
 	}
 	after := *before
 	after.routes, after.document = routes, document
+	after.source, after.activeSince = source, time.Now()
 	c.publish(before, &after, source)
-	return nil
 }
 
 // updateDataCentresOut sets the data centres out of service as of a store
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -47,6 +47,9 @@
 		return
 	}
 	report, err := platform.DecodeReport(r.PathValue("id"), body)
+	if err == nil && len(report.Instance) > maxNameBytes {
+		err = errors.Errorf("instance must not have more than %d bytes", maxNameBytes)
+	}
 	if err == nil && !n.knowsService(report.Service) {
 		err = errors.Errorf("unknown service %q", report.Service)
 	}
@@ -122,14 +125,18 @@
 	writeEmpty(w)
 }
 
-// metricsHandler returns the handler that serves the metrics as text.
+// metricsHandler returns the handler that serves the metrics as text, and the state
+// dump at StatePath.
 func (n *Node) metricsHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	mux := http.NewServeMux()
+	mux.Handle(StatePath, n.stateHandler())
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		var out bytes.Buffer
 		metricstext.Write(&out, n.registry)
 		w.Header().Set("Content-Type", metricstext.ContentType)
 		_, _ = w.Write(out.Bytes()) // the collector scrapes again
 	})
+	return mux
 }
 
 // serveControl serves a control listener until the context ends.
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"time"
@@ -11,33 +12,51 @@
 
 	"verbenatrestle/internal/wait"
 	"verbenatrestle/platform"
+	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/journal"
 	store "verbenatrestle/process/platform"
 )
 
 // nodeRecord is the object in the store by which other nodes discover a node.
 type nodeRecord struct {
-	// DataCentre is the data centre of the node.
+	// DataCentre is the data centre of the node, and Service the service of the
+	// target beside it.
 	DataCentre string `json:"data_centre"`
+	Service    string `json:"service,omitempty"`
 	// Hop and Peers are the addresses that take hops and datagrams.
 	Hop   string `json:"hop"`
 	Peers string `json:"peers"`
 }
 
+// relistDelays are the delays of the lists after a node has written its record.
+// Each may be some seconds old, and other nodes may write theirs meanwhile.
+var relistDelays = []time.Duration{700 * time.Millisecond, 2 * time.Second, 4 * time.Second}
+
 // discoverNodes registers this node in the store and reads the list of the
 // others at an interval, until the context ends.
 func (s *storeSync) discoverNodes(ctx context.Context) {
 	backoff := store.Backoff{Base: storeBackoffBase, Cap: storeBackoffCap}
+	var delays []time.Duration
 	for ctx.Err() == nil {
-		err := s.register(ctx)
+		written, err := s.register(ctx)
 		s.recordCallResult(err)
+		if written {
+			delays = relistDelays
+		}
 		if err == nil {
 			break
 		}
 		s.node.events.log(journal.Change, "meeting_failed", "dependency", "store", "err", err)
 		wait.For(ctx, backoff.Next(s.rng))
 	}
-	for wait.For(ctx, nodeListInterval) {
+	for {
+		interval := max(nodeListInterval, nodeListIntervalPerNode*time.Duration(s.node.fleet.NodeCount(time.Now())))
+		if len(delays) > 0 {
+			interval, delays = delays[0], delays[1:]
+		}
+		if !wait.For(ctx, time.Duration(float64(interval)*(0.75+rand.Float64()/2))) {
+			return
+		}
 		objects, _, err := s.client.ListStale(ctx, platform.PrefixNodes)
 		if err != nil {
 			s.node.events.log(journal.Change, "node_list_failed", "dependency", "store", "err", err)
@@ -48,39 +67,35 @@
 }
 
 // register lists the nodes, and writes the record of this node if it is
-// missing or outdated. Two nodes that register at the same time discover each
-// other, since each of them lists again after its write. The first list may be
-// stale: a node that is missing from it has written its record since, and
-// lists after that write.
-func (s *storeSync) register(ctx context.Context) error {
+// missing or outdated. It reports whether it did. The list may be stale. Nodes that
+// register at the same time discover each other by their later lists.
+func (s *storeSync) register(ctx context.Context) (written bool, err error) {
 	objects, _, err := s.client.ListStale(ctx, platform.PrefixNodes)
+	if err == nil {
+		s.addDiscovered(objects)
+	}
+	s.firstList.Do(func() { close(s.listed) })
 	if err != nil {
-		return err
+		return false, err
 	}
-	s.addDiscovered(objects)
 	record, err := json.Marshal(s.ownRecord())
 	if err != nil {
-		return errors.Wrap(err, "encode node record")
+		return false, errors.Wrap(err, "encode node record")
 	}
 	current, version := findRecord(objects, platform.PrefixNodes+s.node.settings().Name)
 	if current == s.ownRecord() {
-		return nil
+		return false, nil
 	}
 	if err := s.writeRecord(ctx, record, version); err != nil {
-		return err
-	}
-	objects, _, err = s.client.List(ctx, platform.PrefixNodes)
-	if err != nil {
-		return err
+		return false, err
 	}
-	s.addDiscovered(objects)
-	return nil
+	return true, nil
 }
 
 // ownRecord returns the record of this node.
 func (s *storeSync) ownRecord() nodeRecord {
 	settings := s.node.settings()
-	return nodeRecord{DataCentre: settings.DataCentre, Hop: settings.hopAddress(), Peers: settings.Listen.Peers}
+	return nodeRecord{DataCentre: settings.DataCentre, Service: settings.Service, Hop: settings.hopAddress(), Peers: settings.Listen.Peers}
 }
 
 // findRecord returns the record with a key and its version. Both are zero if
@@ -136,7 +151,11 @@
 			s.node.events.badMessage("node_record", object.Key, err)
 			continue
 		}
-		s.node.fleet.AddDiscovered(name, record.DataCentre, record.Hop, record.Peers, now)
+		s.node.fleet.AddDiscovered(fleet.Discovered{
+			Node: name, DataCentre: record.DataCentre, Service: record.Service,
+			HopAddress: record.Hop, DatagramAddress: record.Peers,
+		}, now)
 	}
+	s.node.peers.selectPeers()
 	s.node.peers.requestBroadcast()
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -36,6 +36,10 @@
 	hopConfig = "config"
 )
 
+// reasonHopRejected is the reason of an attempt that the server of the other node
+// rejected unread.
+const reasonHopRejected = "hop-rejected"
+
 // reasonCallerLeft is the reason of an attempt that was cancelled because the
 // caller closed its connection.
 const reasonCallerLeft = "caller-left"
@@ -67,31 +71,54 @@
 	node *Node
 
 	mu    sync.Mutex
-	pools map[string]*exchange.Pool
+	pools map[string]*hopPool
+}
+
+// hopPool is the connection pool of one address.
+type hopPool struct {
+	*exchange.Pool
+	// users counts the hops that use the pool now.
+	users int
 }
 
 // newHopClient returns a client without connections.
 func newHopClient(n *Node) *hopClient {
-	return &hopClient{node: n, pools: make(map[string]*exchange.Pool)}
+	return &hopClient{node: n, pools: make(map[string]*hopPool)}
+}
+
+// do sends a request over a connection of the address's pool.
+func (h *hopClient) do(ctx context.Context, address string, message *exchange.Request) (*exchange.Response, error) {
+	p := h.acquire(address)
+	defer h.release(p)
+	return p.Do(ctx, message, 0)
 }
 
-// pool returns the connection pool of an address and creates it if needed.
-func (h *hopClient) pool(address string) *exchange.Pool {
+// acquire returns the connection pool of an address and creates it if needed. It is
+// kept until release.
+func (h *hopClient) acquire(address string) *hopPool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.pools[address]
 	if p == nil {
-		p = exchange.NewPool(address, exchange.Options{
+		p = &hopPool{Pool: exchange.NewPool(address, exchange.Options{
 			IDHeader:       platform.HeaderRequestID,
 			DialTimeout:    hopDialTimeout,
 			TCPUserTimeout: hopUserTimeout,
 			IdleTimeout:    hopIdleTimeout,
-		})
+		})}
 		h.pools[address] = p
 	}
+	p.users++
 	return p
 }
 
+// release ends the use of a pool.
+func (h *hopClient) release(p *hopPool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p.users--
+}
+
 // sweep closes connections that have been idle for too long and drops empty
 // pools.
 func (h *hopClient) sweep(now time.Time) {
@@ -99,7 +126,7 @@
 	defer h.mu.Unlock()
 	for address, p := range h.pools {
 		p.CloseExpired(now)
-		if p.OpenConnections() == 0 {
+		if p.users == 0 && p.OpenConnections() == 0 {
 			delete(h.pools, address)
 		}
 	}
@@ -117,7 +144,7 @@
 	message.Header.Set(platform.HeaderCaller, req.admission.Caller)
 	ctx, cancel := context.WithDeadline(ctx, req.admission.Deadline.Add(hopGrace))
 	defer cancel()
-	response, err := h.pool(to.HopAddress).Do(ctx, &message, 0)
+	response, err := h.do(ctx, to.HopAddress, &message)
 	if err != nil {
 		return h.handleError(ctx, to, req, err)
 	}
@@ -160,10 +187,11 @@
 	return err == nil && response.Status == http.StatusOK
 }
 
-// config fetches the encoded configuration of another node.
-func (h *hopClient) config(ctx context.Context, address string) ([]byte, error) {
+// config fetches the configuration of another node.
+func (h *hopClient) config(ctx context.Context, address string) (configDocument, error) {
 	header := http.Header{}
 	header.Set(request.HeaderHop, hopConfig)
+	header.Set("Accept-Encoding", documentEncoding)
 	response, err := h.call(ctx, address, &exchange.Request{Method: http.MethodGet, RequestURI: "/", Header: header})
 	if err != nil {
 		return nil, errors.Wrap(err, "fetch configuration")
@@ -171,6 +199,9 @@
 	if response.Status != http.StatusOK {
 		return nil, errors.Errorf("fetch configuration from %s: status %d", address, response.Status)
 	}
+	if response.Header.Get("Content-Encoding") != documentEncoding {
+		return newConfigDocument(response.Body)
+	}
 	return response.Body, nil
 }
 
@@ -179,7 +210,7 @@
 	ctx, cancel := context.WithTimeout(ctx, hopCallTimeout)
 	defer cancel()
 	message.Host = address
-	return h.pool(address).Do(ctx, message, 0)
+	return h.do(ctx, address, message)
 }
 
 // admissionFlags returns pointers to the flags that headerOrder carries, in
@@ -317,15 +348,39 @@
 	case hopFence:
 		return n.serveFence(r)
 	case hopConfig:
-		config := n.config.snapshot()
-		if config.routes == nil {
-			return &pipeline.Response{Status: http.StatusNotFound, Header: http.Header{}}
-		}
-		return &pipeline.Response{Status: http.StatusOK, Header: http.Header{}, Body: config.document}
+		return n.serveConfig(r)
 	}
 	return &pipeline.Response{Status: http.StatusBadRequest, Header: http.Header{}}
 }
 
+// rejectHop returns the response to a hop that can't be parsed or is too large. Its
+// request has not run.
+func (n *Node) rejectHop(status int, reason string) *pipeline.Response {
+	response := n.reject(status, reason)
+	response.Header.Set(request.HeaderOutcome, string(request.NotRun))
+	response.Header.Set(headerReason, reasonHopRejected)
+	return response
+}
+
+// serveConfig answers with the configuration, compressed if the other node accepts
+// that.
+func (n *Node) serveConfig(r *pipeline.Request) *pipeline.Response {
+	config := n.config.snapshot()
+	if config.routes == nil {
+		return &pipeline.Response{Status: http.StatusNotFound, Header: http.Header{}}
+	}
+	if r.Header.Get("Accept-Encoding") == documentEncoding {
+		header := http.Header{"Content-Encoding": {documentEncoding}}
+		return &pipeline.Response{Status: http.StatusOK, Header: header, Body: config.document}
+	}
+	text, err := config.document.text()
+	if err != nil {
+		n.events.badMessage("configuration", r.RemoteAddr, err)
+		return &pipeline.Response{Status: http.StatusInternalServerError, Header: http.Header{}}
+	}
+	return &pipeline.Response{Status: http.StatusOK, Header: http.Header{}, Body: text}
+}
+
 // serveRun sends the request of another node to the local target.
 func (n *Node) serveRun(ctx context.Context, r *pipeline.Request) *pipeline.Response {
 	id := r.Header.Get(platform.HeaderRequestID)
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -16,6 +16,7 @@
 	"verbenatrestle/process/gate"
 	"verbenatrestle/process/journal"
 	"verbenatrestle/request"
+	"verbenatrestle/version"
 )
 
 const (
@@ -82,6 +83,9 @@
 	now := time.Now()
 	if reason, retryAfter := t.admit(ctx, req, now); reason != "" {
 		r := refusedResult(string(reason), retryAfter)
+		if reason.MayHaveRun() {
+			r.outcome = request.Unknown
+		}
 		r.load, r.hasLoad = loadOf(t.state(time.Now())), true
 		t.node.events.gateRefused(req, reason, retryAfter, r.load)
 		return r
@@ -264,19 +268,25 @@
 	if t.pool != nil {
 		t.pool.Close()
 	}
-	limit := 0
-	if service, ok := t.node.config.service(t.gate.State(time.Now()).Service); ok && service.MaxConnections > 0 {
-		limit = max(1, service.MaxConnections-spareConnections)
-	}
+	service, _ := t.node.config.service(t.gate.State(time.Now()).Service)
 	t.pool = exchange.NewPool(address, exchange.Options{
 		IDHeader:           platform.HeaderRequestID,
 		DialTimeout:        targetDialTimeout,
 		IdleTimeout:        targetIdleTimeout,
-		MaxOpenConnections: limit,
+		MaxOpenConnections: connectionLimit(service),
 		OnOpen:             func() { t.node.metrics.targetConnections.Inc(1) },
 	})
 }
 
+// connectionLimit returns how many connections the pool may open to a target of the
+// service. Zero means no bound.
+func connectionLimit(service version.ServiceConfig) int {
+	if service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(1, service.MaxConnections-spareConnections)
+}
+
 // deregister records that an instance of the target leaves for good.
 // StartedMillis is the start of its process in Unix milliseconds.
 func (t *localTarget) deregister(instance string, startedMillis int64) {
@@ -288,8 +298,8 @@
 	t.node.peers.requestBroadcast()
 }
 
-// configure applies a configuration snapshot: the cold start limits of the
-// service, and whether the data centre is out of service.
+// configure applies a configuration snapshot: the cold start and connection limits of
+// the service, and whether the data centre is out of service.
 func (t *localTarget) configure(config *configSnapshot) {
 	now := time.Now()
 	t.mu.Lock()
@@ -298,19 +308,27 @@
 	if config.routes != nil {
 		if service, ok := config.routes.Service(state.Service); ok {
 			t.gate.SetColdStart(service.ColdStartRequestsPerSecond*t.node.settings().Limits.ColdFactor*coldRateUtilisation, service.ColdStartDuration)
+			if t.pool != nil {
+				t.pool.SetMaxOpenConnections(connectionLimit(service))
+			}
 		}
 	}
 	t.gate.SetDataCentreOut(config.isOutOfService(t.node.settings().DataCentre), now)
 }
 
-// tick advances the gate to the present time and closes idle connections.
-func (t *localTarget) tick() {
-	now := time.Now()
+// tick advances the gate to the present time.
+func (t *localTarget) tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	service := t.gate.State(now).Service
-	t.gate.SetPeerTargets(t.node.fleet.PeerTargets(service, now))
 	t.gate.Tick(now)
+}
+
+// sweep closes idle connections and counts the targets beside the other nodes.
+func (t *localTarget) sweep(now time.Time) {
+	targets := t.node.fleet.PeerTargets(t.state(now).Service, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gate.SetPeerTargets(targets)
 	if t.pool != nil {
 		t.pool.CloseExpired(now)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
 )
 
@@ -26,6 +27,8 @@
 	rejected          metrics.Counter
 	badMessages       metrics.Counter
 	datagramBytes     metrics.Counter
+	heartbeatsSent    metrics.Counter
+	statusesSent      metrics.Counter
 	datagramsFailed   metrics.Counter
 	targetConnections metrics.Counter
 	healthChecks      metrics.Counter
@@ -44,6 +47,8 @@
 		rejected:          counter("requests.rejected"),
 		badMessages:       counter("messages.bad"),
 		datagramBytes:     counter("peers.datagram-bytes"),
+		heartbeatsSent:    counter("peers.heartbeats-sent"),
+		statusesSent:      counter("peers.statuses-sent"),
 		datagramsFailed:   counter("peers.datagrams-failed"),
 		targetConnections: counter("target.connections-opened"),
 		healthChecks:      counter("target.health-checks"),
@@ -65,6 +70,16 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// datagramSent counts a message to a peer and its size in bytes.
+func (m *nodeMetrics) datagramSent(message any, size int) {
+	m.datagramBytes.Inc(int64(size))
+	if _, ok := message.(*fleet.Heartbeat); ok {
+		m.heartbeatsSent.Inc(1)
+		return
+	}
+	m.statusesSent.Inc(1)
+}
+
 // gateRefused counts a request that the gate refused, by reason.
 func (m *nodeMetrics) gateRefused(reason gate.Refusal) {
 	metrics.GetOrRegisterCounter("gate.refused."+string(reason), m.registry).Inc(1)
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -30,8 +30,15 @@
 	// detect duplicates, and those of fenced requests to refuse them. It is
 	// longer than any hop may take to arrive.
 	dedupWindow = 15 * time.Second
+	// hopHeaderRoom and hopBodyRoom are the factors by which requests on hops may be
+	// larger than those of callers.
+	hopHeaderRoom = 4
+	hopBodyRoom   = 2
 	// tickInterval is the interval of the periodic work in tick.
 	tickInterval = 20 * time.Millisecond
+	// sweepInterval is the interval of closing idle connections, and of counting the
+	// targets beside the other nodes.
+	sweepInterval = 500 * time.Millisecond
 )
 
 // Node is a node of the load balancer. New returns one, and Run makes it serve
@@ -48,6 +55,7 @@
 	events          *eventLog
 	metrics         *nodeMetrics
 	registry        metrics.Registry
+	startedAt       time.Time
 	// rngs holds random number generators, which are not safe for concurrent
 	// use.
 	rngs         *sync.Pool
@@ -67,7 +75,7 @@
 // fails if an address can't be listened on. The node serves nothing until Run
 // is called.
 func New(settings Settings, out io.Writer) (*Node, error) {
-	n := &Node{registry: metrics.NewRegistry(), trafficSplitter: newTrafficSplitter(), listeners: make(map[string]net.Listener)}
+	n := &Node{startedAt: time.Now(), registry: metrics.NewRegistry(), trafficSplitter: newTrafficSplitter(), listeners: make(map[string]net.Listener)}
 	n.currentSettings.Store(&settings)
 	n.metrics = newNodeMetrics(n.registry)
 	n.events = &eventLog{
@@ -87,16 +95,19 @@
 	n.store = newStoreSync(n)
 	n.readiness = &readiness{node: n}
 	n.callerServer = &pipeline.Server{Handler: n.ingress, Limits: n.callerLimits, Reject: n.reject, Logger: log.NewNopLogger()}
-	n.hopServer = &pipeline.Server{Handler: n.serveHop, Limits: hopLimits, Reject: n.reject, Logger: log.NewNopLogger()}
+	n.hopServer = &pipeline.Server{Handler: n.serveHop, Limits: n.hopLimits, Reject: n.rejectHop, Logger: log.NewNopLogger()}
 	return n, n.listen()
 }
 
-// hopLimits returns the limits of requests on hops. The sending node has
-// already applied the limits for callers.
-func hopLimits() pipeline.Limits {
+// hopLimits returns the limits of requests on hops. They leave room above the limits
+// for callers, which the sending node has already applied, perhaps by a newer
+// configuration.
+func (n *Node) hopLimits() pipeline.Limits {
+	callers := n.callerLimits()
 	return pipeline.Limits{
-		MaxHeaderBytes: 4 * defaultHeaderBytes, MaxBodyBytes: 2 * defaultBodyBytes,
-		HeaderTimeout: defaultHeaderTimeout, IdleTimeout: hopServerIdleTimeout,
+		MaxHeaderBytes: hopHeaderRoom * max(defaultHeaderBytes, callers.MaxHeaderBytes),
+		MaxBodyBytes:   hopBodyRoom * max(defaultBodyBytes, callers.MaxBodyBytes),
+		HeaderTimeout:  defaultHeaderTimeout, IdleTimeout: hopServerIdleTimeout,
 	}
 }
 
@@ -176,11 +187,17 @@
 	}
 }
 
-// tick advances the gate of the local target and closes idle hop connections
-// at a fixed interval until the context ends.
+// tick advances the gate of the local target, and closes idle connections, at
+// fixed intervals until the context ends.
 func (n *Node) tick(ctx context.Context) {
+	sweepAt := time.Now()
 	wait.Every(ctx, tickInterval, func(now time.Time) {
-		n.localTarget.tick()
+		n.localTarget.tick(now)
+		if now.Before(sweepAt) {
+			return
+		}
+		sweepAt = now.Add(sweepInterval)
+		n.localTarget.sweep(now)
 		n.hopClient.sweep(now)
 	})
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,8 +4,9 @@
 	"context"
 	"math"
 	"net"
+	"net/netip"
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,23 +50,17 @@
 	codec       *wire.Codec
 	conn        *net.UDPConn
 	incarnation uint64
-	// broadcastRequested requests a broadcast before the next interval.
+	// broadcastRequested requests messages before the next interval.
 	broadcastRequested chan struct{}
-	// pullMu is held while a configuration is fetched from a peer, so that one
-	// fetch runs at a time.
-	pullMu sync.Mutex
-	// lastStatus is the full status that was last sent to all peers with
-	// heartbeats, at lastStatusAt. Only the goroutine of send uses both.
-	lastStatus   fleet.Status
-	lastStatusAt time.Time
-	// lastStatusOnlyAt is when the status-only peers last got a status.
-	lastStatusOnlyAt time.Time
-
-	mu sync.Mutex
+	configPuller       configPuller
+	// lastStatus is the full status that was last sent, recipients is reused by each
+	// broadcast, and tick counts the heartbeat intervals. Only the goroutine of send
+	// uses them.
+	lastStatus fleet.Status
+	recipients []fleet.Recipient
+	tick       int
 	// sequence numbers the messages of this incarnation.
-	sequence uint64
-	// addresses caches resolved peer addresses by host and port.
-	addresses map[string]*net.UDPAddr
+	sequence atomic.Uint64
 }
 
 // newStatusExchange returns an exchange. The incarnation must differ between
@@ -79,7 +74,7 @@
 		codec:              codec,
 		incarnation:        incarnation,
 		broadcastRequested: make(chan struct{}, 1),
-		addresses:          make(map[string]*net.UDPAddr),
+		configPuller:       configPuller{node: n},
 	}
 }
 
@@ -102,7 +97,7 @@
 	}
 }
 
-// send broadcasts to the peers at each interval and on request, until the
+// send sends messages to the peers at each interval and on request, until the
 // context ends.
 func (p *statusExchange) send(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -113,52 +108,68 @@
 		case <-ctx.Done():
 			return
 		case <-p.broadcastRequested:
-			p.broadcast()
+			p.broadcast(fleet.OnLoadStep)
 			time.Sleep(minBroadcastInterval)
 		case <-ticker.C:
-			p.node.fleet.SelectHeartbeatPeers(p.node.settings().Name, p.node.localTarget.state(time.Now()).Service, time.Now())
-			p.broadcast()
+			p.selectPeers()
+			p.tick++
+			p.broadcast(fleet.OnInterval)
 			p.node.events.reachabilityChanged(tracker.Changes(p.node.fleet, time.Now()))
 		}
 	}
 }
 
-// broadcast sends each peer a heartbeat, or a full status if anything but the
-// load has changed or the last status is too old. Status-only peers get a
-// status after such a change and at their own interval. A peer whose
-// incarnation is unknown never gets a heartbeat, but a status instead.
-func (p *statusExchange) broadcast() {
+// selectPeers decides with which peers heartbeats are exchanged.
+func (p *statusExchange) selectPeers() {
+	now := time.Now()
+	settings := p.node.settings()
+	p.node.fleet.SelectHeartbeatPeers(fleet.Self{
+		Node:           settings.Name,
+		DataCentre:     settings.DataCentre,
+		Service:        p.node.localTarget.state(now).Service,
+		DataCentresOut: p.node.config.snapshot().dataCentresOut,
+	}, now)
+}
+
+// broadcast sends the peers that are due a heartbeat or a full status. If anything
+// but the load has changed since the last broadcast, the occasion is
+// fleet.OnChange.
+func (p *statusExchange) broadcast(occasion fleet.Occasion) {
 	now := time.Now()
 	status := p.status(now)
-	changed := !equalExceptLoad(&status, &p.lastStatus)
-	sendStatus := changed || now.Sub(p.lastStatusAt) >= statusInterval
-	if sendStatus {
-		p.lastStatusAt, p.lastStatus = now, status
+	if !equalExceptLoad(&status, &p.lastStatus) {
+		occasion = fleet.OnChange
 	}
-	sendStatusOnly := changed || now.Sub(p.lastStatusOnlyAt) >= p.node.fleet.StatusOnlyInterval()
-	if sendStatusOnly {
-		p.lastStatusOnlyAt = now
+	p.lastStatus = status
+	p.recipients = p.node.fleet.Recipients(p.recipients[:0], occasion, p.tick, statusInterval, now)
+	for i := range p.recipients {
+		p.sendTo(&p.recipients[i], &status)
 	}
-	for _, peer := range p.node.fleet.Peers(now) {
-		if peer.StatusOnly && !sendStatusOnly {
-			continue
-		}
-		status.EchoMillis = -1
-		if !peer.ReceivedAt.IsZero() {
-			status.EchoMillis = int(now.Sub(peer.ReceivedAt).Milliseconds())
-		}
-		if sendStatus || peer.StatusOnly || peer.Status.Incarnation == 0 {
-			p.sendTo(peer.DatagramAddress, &status)
-			continue
-		}
-		p.sendTo(peer.DatagramAddress, &fleet.Heartbeat{
-			Incarnation: status.Incarnation, Sequence: status.Sequence, Running: status.Running,
-			Waiting: status.Waiting, Slowdown: status.Slowdown, EchoMillis: status.EchoMillis,
-			FailurePercent: status.FailurePercent,
-		})
+}
+
+// reply sends a status to one peer.
+func (p *statusExchange) reply(node string) {
+	now := time.Now()
+	if r, ok := p.node.fleet.RecipientOf(node, now); ok {
+		status := p.status(now)
+		p.sendTo(&r, &status)
 	}
 }
 
+// sendTo sends a recipient the status, or a heartbeat with its load.
+func (p *statusExchange) sendTo(r *fleet.Recipient, status *fleet.Status) {
+	if r.FullStatus {
+		status.EchoMillis, status.Wanted = r.EchoMillis, r.Wanted
+		p.write(r.DatagramAddress, status)
+		return
+	}
+	p.write(r.DatagramAddress, &fleet.Heartbeat{
+		Incarnation: status.Incarnation, Sequence: status.Sequence, Running: status.Running,
+		Waiting: status.Waiting, Slowdown: status.Slowdown, EchoMillis: r.EchoMillis,
+		FailurePercent: status.FailurePercent, Wanted: r.Wanted,
+	})
+}
+
 // percent returns a share in percent, rounded.
 func percent(share float64) int { return int(math.Round(100 * share)) }
 
@@ -171,56 +182,43 @@
 		slices.Equal(a.DataCentresOut, b.DataCentresOut) && (a.ColdRemainingMillis > 0) == (b.ColdRemainingMillis > 0)
 }
 
-// sendTo sends one datagram. Failures are counted or logged.
-func (p *statusExchange) sendTo(hostPort string, message any) {
+// write sends one datagram. Failures are counted or logged.
+func (p *statusExchange) write(address string, message any) {
 	data, err := p.codec.Encode(message)
+	if err == nil && len(data) > maxDatagramBytes {
+		err = errors.Errorf("message of %d bytes exceeds the maximum of %d", len(data), maxDatagramBytes)
+	}
 	if err != nil {
-		p.node.events.badMessage("status", hostPort, err)
+		p.node.events.badMessage("status", address, err)
 		return
 	}
-	address, err := p.address(hostPort)
+	to, err := netip.ParseAddrPort(address)
 	if err != nil {
-		p.node.events.badMessage("peer_address", hostPort, err)
+		p.node.events.badMessage("peer_address", address, err)
 		return
 	}
-	p.node.metrics.datagramBytes.Inc(int64(len(data)))
-	if _, err := p.conn.WriteToUDP(data, address); err != nil {
+	p.node.metrics.datagramSent(message, len(data))
+	if _, err := p.conn.WriteToUDPAddrPort(data, to); err != nil {
 		p.node.metrics.datagramsFailed.Inc(1) // the next message makes up for the lost one
 	}
 }
 
-// address resolves the address of a peer, with a cache.
-func (p *statusExchange) address(hostPort string) (*net.UDPAddr, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if address, ok := p.addresses[hostPort]; ok {
-		return address, nil
-	}
-	address, err := net.ResolveUDPAddr("udp4", hostPort)
-	if err == nil {
-		p.addresses[hostPort] = address
-	}
-	return address, err
-}
-
 // status returns the current status of this node.
 func (p *statusExchange) status(now time.Time) fleet.Status {
-	p.mu.Lock()
-	p.sequence++
-	sequence := p.sequence
-	p.mu.Unlock()
 	settings := p.node.settings()
+	reachesStore := p.node.store.reachable.Load()
 	state := p.node.localTarget.state(now)
 	config := p.node.config.snapshot()
 	return fleet.Status{
-		Node: settings.Name, Incarnation: p.incarnation, Sequence: sequence,
+		Node: settings.Name, Incarnation: p.incarnation, Sequence: p.sequence.Add(1),
 		DataCentre: settings.DataCentre, HopAddress: settings.hopAddress(), Stopping: p.node.stopping.Load(),
 		Service: state.Service, Instance: state.Instance, Slots: state.Slots,
 		Running: state.Running, Waiting: state.Waiting, Slowdown: state.Slowdown, Accepting: state.Accepting,
 		ColdRemainingMillis: int(state.ColdRemaining.Milliseconds()),
 		SlowWhenFull:        state.SlowWhenFull,
 		FailurePercent:      percent(state.FailureRate),
-		ReachesStore:        p.node.store.reachable.Load(),
+		ReachesStore:        reachesStore,
+		Watchers:            p.node.fleet.WatcherMarks(settings.Name, reachesStore, p.node.store.maxWatchers(), now),
 		ConfigNumber:        config.number(), OutRevision: config.dataCentresOutRevision, DataCentresOut: config.dataCentresOut,
 	}
 }
@@ -230,7 +228,7 @@
 func (p *statusExchange) receive(ctx context.Context) {
 	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
-		n, from, err := p.conn.ReadFromUDP(buffer)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -254,7 +252,7 @@
 }
 
 // merge applies a status of a peer. A newer list of the data centres out of
-// service is adopted, and a newer configuration is fetched from the peer.
+// service is adopted, and a newer configuration is fetched.
 func (p *statusExchange) merge(ctx context.Context, status *fleet.Status, from string) {
 	isNew, newIncarnation := p.node.fleet.Merge(*status, from, time.Now())
 	if !isNew {
@@ -262,27 +260,13 @@
 	}
 	if newIncarnation {
 		p.node.events.log(journal.Change, "peer_started", "peer", status.Node, "incarnation", status.Incarnation, "instance", status.Instance)
-		p.requestBroadcast()
+		p.reply(status.Node)
 	}
 	config := p.node.config.snapshot()
-	if status.OutRevision > config.dataCentresOutRevision && !slices.Equal(status.DataCentresOut, config.dataCentresOut) {
+	if status.OutRevision > config.dataCentresOutRevision {
 		p.node.config.updateDataCentresOut(status.DataCentresOut, status.OutRevision, status.Node)
 	}
-	if status.ConfigNumber > config.number() && p.pullMu.TryLock() {
-		go func() {
-			defer p.pullMu.Unlock()
-			p.pull(ctx, status.Node, status.HopAddress)
-		}()
-	}
-}
-
-// pull fetches the configuration of a peer and activates it if it is newer.
-func (p *statusExchange) pull(ctx context.Context, node, hopAddress string) {
-	document, err := p.node.hopClient.config(ctx, hopAddress)
-	if err == nil {
-		err = p.node.config.update(document, node)
-	}
-	if err != nil {
-		p.node.events.badMessage("configuration", node, err)
+	if status.ConfigNumber > config.number() {
+		p.configPuller.start(ctx, status.DataCentre)
 	}
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -13,6 +13,14 @@
 	"verbenatrestle/process/gate"
 )
 
+const (
+	// maxNameBytes bounds the names of a node, its data centre, its service and the
+	// instance of its target, and maxDataCentreNameBytes those of all data centres
+	// together, so that a status fits into a datagram.
+	maxNameBytes           = 128
+	maxDataCentreNameBytes = 512
+)
+
 // Settings configure a node. The node logs them as JSON under the names of the
 // Go fields.
 type Settings struct {
@@ -128,6 +136,14 @@
 			return errors.Wrapf(err, "%s must be an address of the form IP:port", a.field)
 		}
 	}
+	if s.AdvertiseHop != "" {
+		if _, err := netip.ParseAddrPort(s.AdvertiseHop); err != nil {
+			return errors.Wrap(err, "advertise_hop must be an address of the form IP:port")
+		}
+	}
+	if err := s.validateNames(); err != nil {
+		return err
+	}
 	switch {
 	case s.Limits.RepeatRatio < 0 || s.Limits.RepeatRatio > 1:
 		return errors.New("limits.repeat_ratio must be between 0 and 1")
@@ -142,3 +158,21 @@
 	}
 	return nil
 }
+
+// validateNames returns an error if the names might not fit into a status with all
+// data centres out of service.
+func (s *Settings) validateNames() error {
+	total := 0
+	for _, name := range s.DataCentres {
+		total += len(name)
+	}
+	if total > maxDataCentreNameBytes {
+		return errors.Errorf("data_centres must not have more than %d bytes together", maxDataCentreNameBytes)
+	}
+	for field, name := range map[string]string{"name": s.Name, "data_centre": s.DataCentre, "service": s.Service} {
+		if len(name) > maxNameBytes {
+			return errors.Errorf("%s must not have more than %d bytes", field, maxNameBytes)
+		}
+	}
+	return nil
+}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -29,17 +29,23 @@
 	// poll the configuration. They poll because a watch may not report a
 	// change.
 	activePollInterval = 600 * time.Millisecond
-	// standbyPollInterval is the mean interval of polls by a standby node. They
-	// show whether the node reaches the store.
-	standbyPollInterval = 20 * time.Second
+	// standbyPollInterval is the mean interval of polls by a standby node, or
+	// standbyPollIntervalPerNode for each node of the fleet if that is longer, so that
+	// the polls of all do not grow with the fleet. They show whether the node reaches
+	// the store.
+	standbyPollInterval        = 20 * time.Second
+	standbyPollIntervalPerNode = 1500 * time.Millisecond
 	// pollsPerEvacuationList is the number of polls of the configuration for
 	// each list of the data centres out of service. Evacuations have more time
 	// to take effect than a configuration.
 	pollsPerEvacuationList = 2
 	// maxActiveWatchers is the number of nodes that watch the store for the
 	// fleet. The other nodes learn of changes from them. With three, the loss
-	// of any two at once delays no change.
-	maxActiveWatchers = 3
+	// of any two at once delays no change. In a fleet of largeFleet nodes or more,
+	// many can fail at once, and it is maxActiveWatchersLarge.
+	maxActiveWatchers      = 3
+	maxActiveWatchersLarge = 5
+	largeFleet             = 96
 	// roleCheckInterval is the interval of checking whether this node is an
 	// active watcher.
 	roleCheckInterval = 500 * time.Millisecond
@@ -52,12 +58,19 @@
 	// then for up to evacuationListJitter for the data centres out of service,
 	// which have more time to take effect.
 	startDelay           = 12 * time.Millisecond
-	startJitter          = 50 * time.Millisecond
-	evacuationListJitter = 400 * time.Millisecond
+	startJitter          = 400 * time.Millisecond
+	evacuationListJitter = 800 * time.Millisecond
+	// firstFleetWait is how long a node that found no others in the store waits for
+	// the configuration of one before it may read by itself. The whole fleet starts
+	// then, and each node knows the others only after its next list.
+	firstFleetWait = 1500 * time.Millisecond
 	// firstPollDelay is the minimum delay of the first poll after the start,
 	// and half of the maximum. By then the node knows which nodes are active
 	// watchers.
 	firstPollDelay = 800 * time.Millisecond
+	// startPollInterval is the interval at which a starting node checks what it has
+	// learnt from its peers.
+	startPollInterval = 10 * time.Millisecond
 	// relistInterval is the mean interval at which a watch lists all objects
 	// again.
 	relistInterval = 5 * time.Minute
@@ -66,8 +79,10 @@
 	storeBackoffBase = 150 * time.Millisecond
 	storeBackoffCap  = 700 * time.Millisecond
 	// nodeListInterval is the interval of listing the nodes, which may return
-	// stale data. Nodes that start announce themselves to the others.
-	nodeListInterval = 20 * time.Second
+	// stale data, or nodeListIntervalPerNode for each node of the fleet if that is
+	// longer. Nodes that start announce themselves to the others.
+	nodeListInterval        = 20 * time.Second
+	nodeListIntervalPerNode = 200 * time.Millisecond
 	// storeRate and storeBurst limit the calls of one node, in calls per second
 	// and in calls at once. Both are far above its normal use.
 	storeRate  = 10
@@ -83,6 +98,13 @@
 	// reachable is what recordCallResult recorded last. It is false before the
 	// first result.
 	reachable atomic.Bool
+	// configVersion is the version of the object that was last applied as the
+	// configuration.
+	configVersion atomic.Uint64
+	// listed is closed by firstList after the first list of the nodes, also if it
+	// failed.
+	listed    chan struct{}
+	firstList sync.Once
 }
 
 // newStoreSync returns a storeSync. Its run method makes the calls.
@@ -97,7 +119,8 @@
 			Dialect:  platform.Store{},
 			Registry: n.registry,
 		}),
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		listed: make(chan struct{}),
 	}
 }
 
@@ -128,25 +151,58 @@
 
 // loadInitial reads the configuration and the data centres out of service,
 // unless they have arrived from a peer meanwhile. Its delays are random, so that
-// of many nodes that start together one reads first and the others learn from
-// it.
+// of many nodes that start together a few read and the others learn from them.
 func (s *storeSync) loadInitial(ctx context.Context) error {
-	wait.For(ctx, startDelay+rand.N(startJitter))
-	if s.node.config.snapshot().routes == nil {
+	select {
+	case <-s.listed:
+	case <-ctx.Done():
+		return nil
+	}
+	if s.node.fleet.NodeCount(time.Now()) == 1 {
+		s.waitUntil(ctx, firstFleetWait, func(c *configSnapshot) bool { return c.routes != nil })
+	}
+	if !s.waitForPeers(ctx, startDelay, startJitter, func(c *configSnapshot) bool { return c.routes != nil }) {
 		if err := s.readConfig(ctx); err != nil {
 			return err
 		}
 	}
-	wait.For(ctx, rand.N(evacuationListJitter))
-	if s.node.config.snapshot().dataCentresOutRevision == 0 {
+	if !s.waitForPeers(ctx, 0, evacuationListJitter, func(c *configSnapshot) bool { return c.dataCentresOutRevision > 0 }) {
 		return s.listEvacuations(ctx)
 	}
 	return nil
 }
 
+// waitForPeers waits for a random time until the condition holds for the
+// configuration snapshot, and returns whether it does.
+func (s *storeSync) waitForPeers(ctx context.Context, least, jitter time.Duration, condition func(*configSnapshot) bool) bool {
+	nodes := s.node.fleet.NodeCount(time.Now())
+	return s.waitUntil(ctx, least+fleet.SuppressionDelay(jitter, nodes, rand.Float64()), condition)
+}
+
+// waitUntil waits at most for the given time until the condition holds for the
+// configuration snapshot, and returns whether it does.
+func (s *storeSync) waitUntil(ctx context.Context, longest time.Duration, condition func(*configSnapshot) bool) bool {
+	until := time.Now().Add(longest)
+	for !condition(s.node.config.snapshot()) {
+		if !time.Now().Before(until) || !wait.For(ctx, min(time.Until(until), startPollInterval)) {
+			return condition(s.node.config.snapshot())
+		}
+	}
+	return true
+}
+
 // watchRole returns the current role of this node in watching the store.
 func (s *storeSync) watchRole() fleet.StoreWatchRole {
-	return s.node.fleet.StoreWatchRole(s.node.settings().Name, s.reachable.Load(), maxActiveWatchers, time.Now())
+	return s.node.fleet.StoreWatchRole(s.node.settings().Name, s.reachable.Load(), s.maxWatchers(), time.Now())
+}
+
+// maxWatchers returns the number of nodes that watch the store for a fleet of the
+// present size.
+func (s *storeSync) maxWatchers() int {
+	if s.node.fleet.NodeCount(time.Now()) >= largeFleet {
+		return maxActiveWatchersLarge
+	}
+	return maxActiveWatchers
 }
 
 // pollConfig loads the initial state and then polls the store until the
@@ -158,7 +214,7 @@
 	wait.For(ctx, firstPollDelay+rand.N(firstPollDelay))
 	for polls := 0; s.waitForNextPoll(ctx); polls++ {
 		err := s.readConfig(ctx)
-		if err == nil && polls%pollsPerEvacuationList == 0 {
+		if err == nil && polls%pollsPerEvacuationList == 0 && s.watchRole().Active {
 			err = s.listEvacuations(ctx)
 		}
 		s.recordCallResult(err)
@@ -173,7 +229,8 @@
 		mean := activePollInterval * time.Duration(role.Watchers)
 		return wait.For(ctx, time.Duration(float64(mean)*(0.75+rand.Float64()/2)))
 	}
-	until := time.Now().Add(time.Duration(rand.ExpFloat64() * float64(standbyPollInterval)))
+	mean := max(standbyPollInterval, standbyPollIntervalPerNode*time.Duration(s.node.fleet.NodeCount(time.Now())))
+	until := time.Now().Add(time.Duration(rand.ExpFloat64() * float64(mean)))
 	for time.Now().Before(until) && !s.watchRole().Active {
 		if !wait.For(ctx, roleCheckInterval) {
 			return false
@@ -247,15 +304,17 @@
 }
 
 // applyConfig applies an update of the configuration. A deleted configuration
-// stays active.
+// stays active. An object that was applied before is not decoded again.
 func (s *storeSync) applyConfig(u store.Update) {
 	for _, object := range u.Objects {
-		if object.Key != platform.KeyConfig || object.Deleted {
+		if object.Key != platform.KeyConfig || object.Deleted || object.Version > 0 && object.Version == s.configVersion.Load() {
 			continue
 		}
 		if err := s.node.config.update(object.Value, "store"); err != nil {
 			s.node.events.badMessage("configuration", s.node.settings().Store, err)
+			continue
 		}
+		s.configVersion.Store(object.Version)
 	}
 }
 
--- a/process/fleet/candidates.go
+++ b/process/fleet/candidates.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"verbenatrestle/process/gate"
@@ -40,36 +38,55 @@
 }
 
 // Candidates returns the reachable targets of a service that accept requests and
-// whose nodes don't shut down, ordered by node.
+// whose nodes don't shut down, ordered by node. Those of status-only peers are only
+// returned if there are no others.
 func (t *Table) Candidates(service string, now time.Time) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []Candidate
-	for _, p := range t.peers {
-		s := &p.Status
-		if s.Service != service || !s.Accepting || s.Stopping || !t.reachable(p, now) {
+	statusOnly := 0
+	for _, p := range t.byService[service] {
+		if !p.Status.Accepting || p.Status.Stopping || !t.reachable(p, now) {
+			continue
+		}
+		if p.StatusOnly {
+			statusOnly++
 			continue
 		}
-		age := now.Sub(p.LoadAt)
-		found = append(found, Candidate{
-			Node: s.Node, HopAddress: s.HopAddress, Incarnation: s.Incarnation, Instance: s.Instance,
-			DataCentre: s.DataCentre, Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
-			Slowdown: s.Slowdown, InFlight: p.inFlight, ColdRemaining: s.ColdRemaining() - age, LoadAge: age,
-			FailurePercent: s.FailurePercent, StatusOnly: p.StatusOnly,
-		})
+		found = append(found, p.candidate(now))
+	}
+	if len(found) > 0 || statusOnly == 0 {
+		return found
+	}
+	for _, p := range t.byService[service] {
+		if p.Status.Accepting && !p.Status.Stopping && t.reachable(p, now) {
+			found = append(found, p.candidate(now))
+		}
 	}
-	slices.SortFunc(found, func(a, b Candidate) int { return strings.Compare(a.Node, b.Node) })
 	return found
 }
 
-// PeerTargets counts the targets beside the nodes that datagrams arrived from
-// recently, for the gate of a target of the given service.
+// candidate returns the target beside the peer.
+func (p *Peer) candidate(now time.Time) Candidate {
+	s := &p.Status
+	age := now.Sub(p.LoadAt)
+	return Candidate{
+		Node: s.Node, HopAddress: s.HopAddress, Incarnation: s.Incarnation, Instance: s.Instance,
+		DataCentre: s.DataCentre, Slots: s.Slots, Running: s.Running, Waiting: s.Waiting,
+		Slowdown: s.Slowdown, InFlight: p.inFlight, ColdRemaining: s.ColdRemaining() - age, LoadAge: age,
+		FailurePercent: s.FailurePercent, StatusOnly: p.StatusOnly,
+	}
+}
+
+// PeerTargets counts the targets beside the other nodes, for the gate of a target of
+// the given service. Nodes of heartbeat peers count if datagrams arrived from them
+// recently; the other nodes are taken to run.
 func (t *Table) PeerTargets(service string, now time.Time) gate.PeerTargets {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var targets gate.PeerTargets
 	for _, p := range t.peers {
-		if !t.receivedRecently(p, now) {
+		if !p.StatusOnly && !t.receivedRecently(p, now) {
 			continue
 		}
 		if p.Status.SlowWhenFull {
--- a/process/fleet/reachability.go
+++ b/process/fleet/reachability.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // ReachabilityTracker reports each change of the reachability of a node once.
 // The zero value is ready to use. It is not safe for concurrent use.
@@ -18,28 +22,31 @@
 	SilentFor time.Duration
 }
 
-// Changes returns the nodes that became reachable or unreachable since the
+// Changes returns the heartbeat peers that became reachable or unreachable since the
 // previous call, ordered by name. A node counts as unreachable until a call finds
-// it reachable. A node that was removed from the table is not returned.
+// it reachable. A node that was removed from the table or became status-only is not
+// returned.
 func (r *ReachabilityTracker) Changes(t *Table, now time.Time) []ReachabilityChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if r.reachable == nil {
 		r.reachable = make(map[string]bool)
 	}
 	var changes []ReachabilityChange
-	known := make(map[string]bool)
-	for _, p := range t.Peers(now) {
-		name := p.Status.Node
-		known[name] = true
-		reachable := t.Reachable(name, now)
-		if reachable != r.reachable[name] {
+	for name, p := range t.peers {
+		if p.StatusOnly {
+			continue
+		}
+		if reachable := t.reachable(p, now); reachable != r.reachable[name] {
 			changes = append(changes, ReachabilityChange{Node: name, Reachable: reachable, SilentFor: now.Sub(p.ReceivedAt)})
 			r.reachable[name] = reachable
 		}
 	}
 	for name := range r.reachable {
-		if !known[name] {
+		if p := t.peers[name]; p == nil || p.StatusOnly {
 			delete(r.reachable, name)
 		}
 	}
+	slices.SortFunc(changes, func(a, b ReachabilityChange) int { return strings.Compare(a.Node, b.Node) })
 	return changes
 }
--- a/process/fleet/status.go
+++ b/process/fleet/status.go
@@ -53,6 +53,10 @@
 	SlowWhenFull bool
 	// FailurePercent is the share of the target's runs that fail.
 	FailurePercent int
+	// Wanted is set if the sender chose the receiver for heartbeats by itself.
+	Wanted bool
+	// Watchers relays which nodes may watch the platform's store.
+	Watchers []WatcherMark
 }
 
 // ColdRemaining returns how much longer the target is cold, as of the status.
@@ -73,6 +77,7 @@
 	Slowdown int
 	// EchoMillis is as in Status.
 	EchoMillis int
-	// FailurePercent is as in Status.
+	// FailurePercent and Wanted are as in Status.
 	FailurePercent int
+	Wanted         bool
 }
--- /dev/null
+++ b/process/fleet/storewatch.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// markTTL is how long a relayed WatcherMark counts. A node hears of a watcher that
+	// is not among its heartbeat peers by several of them, each once a second.
+	markTTL = 2500 * time.Millisecond
+	// maxRelayedMarks bounds the marks of a status, and maxKeptMarks those that a node
+	// keeps.
+	maxRelayedMarks = 8
+	maxKeptMarks    = 32
+)
+
+// WatcherMark tells which node may watch the platform's store. Nodes relay the marks
+// of the nodes with the lowest ranks in their statuses, so that all agree on the
+// active watchers although each exchanges heartbeats with a few others only.
+type WatcherMark struct {
+	// Rank is the watchRank of the node.
+	Rank uint64
+	// AgeMillis is the time since the node itself was heard, in milliseconds.
+	AgeMillis int
+	// Withdrawn is set if the node did not reach the store then.
+	Withdrawn bool
+}
+
+// relayedMark is a WatcherMark of which the node itself was heard at heardAt.
+type relayedMark struct {
+	heardAt   time.Time
+	withdrawn bool
+}
+
+// StoreWatchRole is the role of a node in watching the platform's store on behalf
+// of the fleet.
+type StoreWatchRole struct {
+	// Active is set if the node is one of those that read the store for the fleet.
+	Active bool
+	// Watchers is the number of nodes that share the reads.
+	Watchers int
+}
+
+// watchRank orders the nodes for StoreWatchRole. It is a hash, so that the
+// active nodes are spread over the data centres.
+func watchRank(name string) uint64 { return xxhash.Sum64String(name) }
+
+// mergeMarks applies the marks of a status. The caller holds the lock.
+func (t *Table) mergeMarks(marks []WatcherMark, now time.Time) {
+	for _, m := range marks[:min(len(marks), maxRelayedMarks)] {
+		if m.AgeMillis < 0 {
+			continue
+		}
+		heardAt := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
+		if known, ok := t.marks[m.Rank]; !ok || heardAt.After(known.heardAt) {
+			t.marks[m.Rank] = relayedMark{heardAt: heardAt, withdrawn: m.Withdrawn}
+		}
+	}
+	for rank, m := range t.marks {
+		if now.Sub(m.heardAt) >= markTTL || len(t.marks) > maxKeptMarks {
+			delete(t.marks, rank)
+		}
+	}
+}
+
+// WatcherMarks returns the marks for the next status of this node, given by its name
+// and whether it reaches the store: those of the active watchers, and of nodes with
+// lower ranks that do not reach the store.
+func (t *Table) WatcherMarks(name string, reachesStore bool, maxWatchers int, now time.Time) []WatcherMark {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var kept []WatcherMark
+	active := 0
+	for _, m := range t.rankedMarks(name, reachesStore, now) {
+		if active == maxWatchers || len(kept) == maxRelayedMarks {
+			break
+		}
+		if !m.Withdrawn {
+			active++
+		}
+		kept = append(kept, m)
+	}
+	return kept
+}
+
+// rankedMarks returns what is known of all nodes that may watch the store, this one
+// included, the lowest rank first. What datagrams of a node show goes before what
+// others relay. The caller holds the lock.
+func (t *Table) rankedMarks(name string, reachesStore bool, now time.Time) []WatcherMark {
+	ranked := []WatcherMark{{Rank: watchRank(name), Withdrawn: !reachesStore}}
+	direct := map[uint64]bool{ranked[0].Rank: true}
+	for other, p := range t.peers {
+		if !p.StatusOnly && t.reachable(p, now) {
+			mark := WatcherMark{Rank: watchRank(other), AgeMillis: int(now.Sub(p.ReceivedAt).Milliseconds()), Withdrawn: !p.Status.ReachesStore}
+			ranked = append(ranked, mark)
+			direct[mark.Rank] = true
+		}
+	}
+	for rank, m := range t.marks {
+		if age := now.Sub(m.heardAt); age < markTTL && !direct[rank] {
+			ranked = append(ranked, WatcherMark{Rank: rank, AgeMillis: int(age.Milliseconds()), Withdrawn: m.withdrawn})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b WatcherMark) int { return cmp.Compare(a.Rank, b.Rank) })
+	return ranked
+}
+
+// StoreWatchRole returns the role of this node, given by its name and whether it
+// reaches the store itself. Of the nodes that reach the store, the first ones by
+// watchRank are active, at most maxWatchers. If no node is known to reach it, all
+// nodes are active and take turns to try.
+func (t *Table) StoreWatchRole(name string, reachesStore bool, maxWatchers int, now time.Time) StoreWatchRole {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reaching, before := 0, 0
+	rank := watchRank(name)
+	for _, m := range t.rankedMarks(name, reachesStore, now) {
+		if m.Withdrawn {
+			continue
+		}
+		reaching++
+		if m.Rank < rank {
+			before++
+		}
+	}
+	switch {
+	case reachesStore:
+		return StoreWatchRole{Active: before < maxWatchers, Watchers: min(reaching, maxWatchers)}
+	case reaching == 0:
+		return StoreWatchRole{Active: true, Watchers: t.nodeCount(now)}
+	}
+	return StoreWatchRole{Watchers: min(reaching, maxWatchers)}
+}
+
+// nodeCount returns the number of nodes that are taken to run, this one included:
+// the reachable ones, and the status-only ones, of which nothing newer is known. The
+// caller holds the lock.
+func (t *Table) nodeCount(now time.Time) int {
+	count := 1
+	for _, p := range t.peers {
+		if p.StatusOnly || t.reachable(p, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// NodeCount returns the number of nodes that are taken to run, this one included.
+func (t *Table) NodeCount(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.nodeCount(now)
+}
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -3,10 +3,9 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Settings configures a Table.
@@ -30,8 +29,7 @@
 	DatagramAddress string
 	// ReceivedAt is when the latest datagram or response arrived. Zero means never.
 	ReceivedAt time.Time
-	// StatusOnly means that statuses are exchanged with the node, but no
-	// heartbeats.
+	// StatusOnly means that the node gets no heartbeats, and statuses only rarely.
 	StatusOnly bool
 	// LoadAt is when the load in Status was received, or when the peer was added.
 	LoadAt time.Time
@@ -45,22 +43,44 @@
 	formerIncarnations []uint64
 	// inFlight counts the requests of this node that are in flight to the peer.
 	inFlight int
+	// pair is the hash of the names of both nodes, as pairHash returns it.
+	pair float64
+	// chosenAt is when this node chose the peer for heartbeats. Zero means that it
+	// did not. wantedAt is when a message last showed that the peer chose this node.
+	chosenAt, wantedAt time.Time
+	// statusAt is when the peer was last sent a status.
+	statusAt time.Time
 }
 
 // Table holds the peers of a node. It is safe for concurrent use.
 type Table struct {
 	settings Settings
-	mu       sync.Mutex
-	peers    map[string]*Peer
+	// self is this node, as SelectHeartbeatPeers last got it.
+	self  Self
+	mu    sync.Mutex
+	peers map[string]*Peer
+	// byService holds the peers of each service, ordered by node, and byAddress the
+	// peer at each datagram address.
+	byService map[string][]*Peer
+	byAddress map[string]*Peer
 	// statusOnlyInterval is the interval of statuses to status-only nodes.
 	statusOnlyInterval time.Duration
 	// nodes maps each current incarnation to the name of its node.
 	nodes map[uint64]string
+	// marks holds what peers relayed of the nodes that watch the store, by rank.
+	marks map[uint64]relayedMark
 }
 
 // NewTable returns an empty table.
 func NewTable(settings Settings) *Table {
-	return &Table{settings: settings, peers: make(map[string]*Peer), nodes: make(map[uint64]string)}
+	return &Table{
+		settings:  settings,
+		peers:     make(map[string]*Peer),
+		byService: make(map[string][]*Peer),
+		byAddress: make(map[string]*Peer),
+		nodes:     make(map[uint64]string),
+		marks:     make(map[uint64]relayedMark),
+	}
 }
 
 // maxFormerIncarnations bounds the ended incarnations of a node that are
@@ -68,30 +88,43 @@
 // longer.
 const maxFormerIncarnations = 4
 
-// AddDiscovered adds a node that was found by other means than its datagrams.
-// The addresses of a known node are only replaced if no datagram of it arrived
-// recently. A node is ignored if datagrams of another one arrive from its
-// datagram address.
-func (t *Table) AddDiscovered(name, dataCentre, hopAddress, datagramAddress string, now time.Time) {
+// Discovered is a node that was found by other means than its datagrams.
+type Discovered struct {
+	// Node, DataCentre, Service and HopAddress are as in Status. Service is empty if
+	// it is not known.
+	Node, DataCentre, Service, HopAddress string
+	// DatagramAddress is where the node takes datagrams, "IP:port".
+	DatagramAddress string
+}
+
+// AddDiscovered adds a node. The addresses of a known node are only replaced if no
+// datagram of it arrived recently. A node is ignored if datagrams of another one
+// arrive from its datagram address.
+func (t *Table) AddDiscovered(d Discovered, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if holder := t.peerByAddress(datagramAddress, name); holder != nil && t.receivedRecently(holder, now) {
-		return
-	}
-	p := t.peers[name]
-	if p == nil {
-		t.peers[name] = &Peer{
-			Status:          Status{Node: name, DataCentre: dataCentre, HopAddress: hopAddress},
-			DatagramAddress: datagramAddress,
-			LoadAt:          now,
+	if holder := t.byAddress[d.DatagramAddress]; holder != nil && holder.Status.Node != d.Node {
+		if t.receivedRecently(holder, now) {
+			return
 		}
+		t.remove(holder)
+	}
+	p := t.peers[d.Node]
+	switch {
+	case p == nil:
+		p = &Peer{LoadAt: now}
+		p.Status.Node = d.Node
+		t.peers[d.Node] = p
+	case p.DatagramAddress == d.DatagramAddress || t.receivedRecently(p, now):
 		return
 	}
-	if p.DatagramAddress != datagramAddress && !t.receivedRecently(p, now) {
-		p.DatagramAddress = datagramAddress
-		p.Status.HopAddress = hopAddress
-		p.Status.DataCentre = dataCentre
+	t.setAddress(p, d.DatagramAddress)
+	s := p.Status
+	s.DataCentre, s.HopAddress = d.DataCentre, d.HopAddress
+	if s.Incarnation == 0 {
+		s.Service = d.Service
 	}
+	t.setStatus(p, s)
 }
 
 // Merge applies a status that arrived from datagramAddress. It reports whether
@@ -102,7 +135,8 @@
 	defer t.mu.Unlock()
 	p := t.peers[s.Node]
 	if p == nil {
-		p = &Peer{}
+		p = &Peer{StatusOnly: len(t.peers) >= fullMeshNodes}
+		p.Status.Node = s.Node
 		t.peers[s.Node] = p
 	}
 	if slices.Contains(p.formerIncarnations, s.Incarnation) {
@@ -118,45 +152,93 @@
 		p.formerIncarnations = p.formerIncarnations[max(0, len(p.formerIncarnations)-maxFormerIncarnations):]
 		p.avoidUntil = time.Time{}
 	}
-	if newIncarnation || p.DatagramAddress != datagramAddress {
-		t.removePeerAt(datagramAddress, s.Node)
+	// Two nodes must not be kept at one address: the datagrams meant for the old one
+	// would reach the new one as well. Their echo is the time since the old one last
+	// sent something, so the new one would conclude that this node receives nothing
+	// from it.
+	if old := t.byAddress[datagramAddress]; old != nil && old != p {
+		t.remove(old)
 	}
-	p.Status = s
-	p.DatagramAddress = datagramAddress
-	p.ReceivedAt = now
+	t.setAddress(p, datagramAddress)
+	t.mergeMarks(s.Watchers, now)
+	t.setStatus(p, s)
 	p.LoadAt = now
-	p.applyEcho(s.EchoMillis, now)
+	t.received(p, s.EchoMillis, s.Wanted, now)
 	t.nodes[s.Incarnation] = s.Node
 	return true, newIncarnation
 }
 
-// peerByAddress returns a node other than the named one that takes datagrams at
-// the address, or nil.
-func (t *Table) peerByAddress(datagramAddress, except string) *Peer {
-	for name, p := range t.peers {
-		if name != except && p.DatagramAddress == datagramAddress {
-			return p
-		}
+// setAddress sets the datagram address of a peer. The caller holds the lock.
+func (t *Table) setAddress(p *Peer, datagramAddress string) {
+	if p.DatagramAddress == datagramAddress && t.byAddress[datagramAddress] == p {
+		return
 	}
-	return nil
+	if t.byAddress[p.DatagramAddress] == p {
+		delete(t.byAddress, p.DatagramAddress)
+	}
+	p.DatagramAddress = datagramAddress
+	t.byAddress[datagramAddress] = p
 }
 
-// removePeerAt removes the peer, other than the named one, that has the address.
-// If both were kept, the datagrams meant for the old node would reach the new one
-// as well. Their echo is the time since the old node last sent something, so the
-// new node would conclude that this one receives nothing from it.
-func (t *Table) removePeerAt(datagramAddress, except string) {
-	if old := t.peerByAddress(datagramAddress, except); old != nil {
-		t.remove(old)
+// setStatus replaces the status of a peer. The caller holds the lock.
+func (t *Table) setStatus(p *Peer, s Status) {
+	if p.Status.Service != s.Service {
+		t.leaveService(p)
+		p.Status = s
+		t.joinService(p)
+		return
+	}
+	p.Status = s
+}
+
+// joinService adds a peer to the index by service. Peers without a target are not
+// in it.
+func (t *Table) joinService(p *Peer) {
+	service := p.Status.Service
+	if service == "" {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(t.byService[service], p.Status.Node, compareNode)
+	t.byService[service] = slices.Insert(t.byService[service], at, p)
+}
+
+// leaveService removes a peer from the index by service.
+func (t *Table) leaveService(p *Peer) {
+	service := p.Status.Service
+	at, found := slices.BinarySearchFunc(t.byService[service], p.Status.Node, compareNode)
+	if !found {
+		return
+	}
+	t.byService[service] = slices.Delete(t.byService[service], at, at+1)
+	if len(t.byService[service]) == 0 {
+		delete(t.byService, service)
 	}
 }
 
+// compareNode orders peers by the name of their node.
+func compareNode(p *Peer, node string) int { return strings.Compare(p.Status.Node, node) }
+
 // remove deletes a peer. The caller holds the lock.
 func (t *Table) remove(p *Peer) {
+	t.leaveService(p)
+	if t.byAddress[p.DatagramAddress] == p {
+		delete(t.byAddress, p.DatagramAddress)
+	}
 	delete(t.nodes, p.Status.Incarnation)
 	delete(t.peers, p.Status.Node)
 }
 
+// received records a datagram of a peer with its echo and its Wanted flag.
+func (t *Table) received(p *Peer, echoMillis int, wanted bool, now time.Time) {
+	p.ReceivedAt = now
+	p.applyEcho(echoMillis, now)
+	p.wantedAt = time.Time{}
+	if wanted {
+		p.wantedAt = now
+		p.StatusOnly = false
+	}
+}
+
 // MergeHeartbeat applies a heartbeat. It is ignored if no status of its
 // incarnation arrived before, or if it is not newer than the known state.
 func (t *Table) MergeHeartbeat(h Heartbeat, now time.Time) {
@@ -173,8 +255,8 @@
 	p.Status.Sequence = h.Sequence
 	p.Status.Running, p.Status.Waiting, p.Status.Slowdown = h.Running, h.Waiting, h.Slowdown
 	p.Status.FailurePercent = h.FailurePercent
-	p.ReceivedAt, p.LoadAt = now, now
-	p.applyEcho(h.EchoMillis, now)
+	p.LoadAt = now
+	t.received(p, h.EchoMillis, h.Wanted, now)
 }
 
 // applyEcho records how many milliseconds ago the peer received the latest
@@ -253,64 +335,27 @@
 	return t.receivedRecently(p, now) && now.Sub(p.echoedAt) < t.unreachableAfter(p) && !now.Before(p.avoidUntil)
 }
 
-// StoreWatchRole is the role of a node in watching the platform's store on behalf
-// of the fleet.
-type StoreWatchRole struct {
-	// Active is set if the node is one of those that read the store for the fleet.
-	Active bool
-	// Watchers is the number of nodes that share the reads.
-	Watchers int
-}
-
-// StoreWatchRole returns the role of this node, given by its name and whether it
-// reaches the store itself. Of the nodes that reach the store, the first ones by
-// watchRank are active, at most maxWatchers. If no node reaches it, all nodes
-// are active and take turns to try.
-func (t *Table) StoreWatchRole(name string, reachesStore bool, maxWatchers int, now time.Time) StoreWatchRole {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	nodes, reaching, before := 1, 0, 0
-	rank := watchRank(name)
-	for other, p := range t.peers {
-		if !t.reachable(p, now) {
-			continue
-		}
-		nodes++
-		if p.Status.ReachesStore {
-			reaching++
-			if watchRank(other) < rank {
-				before++
-			}
-		}
-	}
-	switch {
-	case reachesStore:
-		return StoreWatchRole{Active: before < maxWatchers, Watchers: min(reaching+1, maxWatchers)}
-	case reaching == 0:
-		return StoreWatchRole{Active: true, Watchers: nodes}
-	}
-	return StoreWatchRole{Watchers: min(reaching, maxWatchers)}
-}
-
-// watchRank orders the nodes for StoreWatchRole. It is a hash, so that the
-// active nodes are spread over the data centres.
-func watchRank(name string) uint64 { return xxhash.Sum64String(name) }
-
 // Peers returns copies of all peers, ordered by name. It removes the peers whose
 // load is older than Settings.ForgetAfter.
 func (t *Table) Peers(now time.Time) []Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.forget(now)
 	var all []Peer
 	for _, name := range slices.Sorted(maps.Keys(t.peers)) {
-		p := t.peers[name]
+		all = append(all, *t.peers[name])
+	}
+	return all
+}
+
+// forget removes the peers whose load is older than Settings.ForgetAfter. The caller
+// holds the lock.
+func (t *Table) forget(now time.Time) {
+	for _, p := range t.peers {
 		if now.Sub(p.LoadAt) > t.settings.ForgetAfter {
 			t.remove(p)
-			continue
 		}
-		all = append(all, *p)
 	}
-	return all
 }
 
 // Peer returns a copy of the named peer, and whether there is one.
--- a/version/routetable.go
+++ b/version/routetable.go
@@ -117,6 +117,15 @@
 // Version returns the version number. Later versions have higher numbers.
 func (t *RouteTable) Version() uint64 { return t.version }
 
+// RouteCount returns the number of routes.
+func (t *RouteTable) RouteCount() int {
+	count := 0
+	for _, byPrefix := range t.rules {
+		count += len(byPrefix)
+	}
+	return count
+}
+
 // Limits returns the limits for callers.
 func (t *RouteTable) Limits() CallerLimits { return t.limits }
 
