--- a/process/fleet/heartbeatpeers.go
+++ b/process/fleet/heartbeatpeers.go
@@ -16,7 +16,7 @@
 	// in the data centre of a node and in all others together, with whose nodes it
 	// exchanges heartbeats in a larger fleet. Targets in the own data centre that
 	// can't be used are replaced by as many others.
-	localTargets  = 10
+	localTargets  = 8
 	remoteTargets = 6
 	// minUsableShare bounds the effect of unusable heartbeat peers on the number of
 	// those that are chosen.
--- a/process/fleet/recipients.go
+++ b/process/fleet/recipients.go
@@ -6,6 +6,9 @@
 	// remoteHeartbeatTicks is the interval of heartbeats to peers in other data centres
 	// of a large fleet, in intervals of those to the others.
 	remoteHeartbeatTicks = 2
+	// minHeartbeatGap is the time since the latest message to a peer of a large fleet
+	// within which the end of an interval needs no heartbeat.
+	minHeartbeatGap = 200 * time.Millisecond
 	// silentAfter is the time without a datagram or response after which a peer gets
 	// no heartbeats, but statuses only.
 	silentAfter = 10 * time.Second
@@ -47,6 +50,7 @@
 		if !due {
 			continue
 		}
+		p.sentAt = now
 		if full {
 			p.statusAt = now
 		}
@@ -72,8 +76,10 @@
 		return occasion == OnInterval, true
 	case occasion == OnLoadStep:
 		return !t.slowHeartbeats(p), false
+	case t.slowHeartbeats(p):
+		return tick%remoteHeartbeatTicks == 0, false
 	}
-	return !t.slowHeartbeats(p) || tick%remoteHeartbeatTicks == 0, false
+	return len(t.peers) < fullMeshNodes || now.Sub(p.sentAt) >= minHeartbeatGap, false
 }
 
 // lastHeard returns when the latest datagram or response of the peer arrived, or when
--- a/process/fleet/recipients_test.go
+++ b/process/fleet/recipients_test.go
@@ -90,3 +90,26 @@
 		t.Fatalf("%d messages in ten seconds", messages)
 	}
 }
+
+// In a large fleet the end of an interval needs no heartbeat shortly after a load step
+// was sent, but a peer must not wait for longer than two intervals.
+func TestHeartbeatFollowsLoadStepsSparingly(t *testing.T) {
+	all := unevenServices.statuses(295)
+	table := tableOf(all, 0, start)
+	count := func(occasion Occasion, tick int, at time.Duration) (heartbeats int) {
+		for _, r := range table.Recipients(nil, occasion, tick, time.Second, start.Add(at)) {
+			if !r.FullStatus {
+				heartbeats++
+			}
+		}
+		return heartbeats
+	}
+	table.Recipients(nil, OnChange, 0, time.Second, start)
+	local := count(OnLoadStep, 0, 200*time.Millisecond)
+	if got := count(OnInterval, 1, 250*time.Millisecond); got != 0 {
+		t.Errorf("%d heartbeats 50 ms after a load step", got)
+	}
+	if got := count(OnInterval, 3, 500*time.Millisecond); got != local {
+		t.Errorf("%d heartbeats 300 ms after a load step, want %d", got, local)
+	}
+}
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -48,8 +48,8 @@
 	// chosenAt is when this node chose the peer for heartbeats. Zero means that it
 	// did not. wantedAt is when a message last showed that the peer chose this node.
 	chosenAt, wantedAt time.Time
-	// statusAt is when the peer was last sent a status.
-	statusAt time.Time
+	// sentAt is when the peer was last sent a message, and statusAt a status.
+	sentAt, statusAt time.Time
 }
 
 // Table holds the peers of a node. It is safe for concurrent use.
