--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -386,23 +386,3 @@
 store: 10.0.0.2:1
 limits: {repeat_ratio: 0.2, repeat_slack: 62, repeat_window_s: 10, cold_factor: 1.5, stop_s: 6}
 `
-
-// A caller sends a request that must not run twice again under the same id, although
-// it has run. The answer must not state that it has not, and no other target may get
-// it.
-func TestRepeatedNonIdempotentRequestIsUnknown(t *testing.T) {
-	f := newTestFleet(t)
-	f.store.Put("config", "main", standin.ConfigForServices(1, "once"))
-	a := f.add(testTarget{service: "once", slots: 8, work: 5 * time.Millisecond})
-	f.settled(1)
-	if got := a.call(t, http.MethodPost, "/once/1", "same", "x"); got.status != http.StatusOK {
-		t.Fatalf("%d", got.status)
-	}
-	got := a.call(t, http.MethodPost, "/once/1", "same", "x")
-	if got.status != http.StatusBadGateway || !strings.Contains(got.body, `"unknown"`) {
-		t.Fatalf("%d %s", got.status, got.body)
-	}
-	if runs := a.target.Runs(); len(runs) != 1 {
-		t.Fatalf("%d runs", len(runs))
-	}
-}
--- a/gateway/hop_test.go
+++ b/gateway/hop_test.go
@@ -127,3 +127,23 @@
 		t.Fatalf("%d bytes with %d marks, %v", len(data), len(status.Watchers), err)
 	}
 }
+
+// A caller sends a request that must not run twice again under the same id, although
+// it has run. The answer must not state that it has not, and no other target may get
+// it.
+func TestRepeatedNonIdempotentRequestIsUnknown(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "once"))
+	a := f.add(testTarget{service: "once", slots: 8, work: 5 * time.Millisecond})
+	f.settled(1)
+	if got := a.call(t, http.MethodPost, "/once/1", "same", "x"); got.status != http.StatusOK {
+		t.Fatalf("%d", got.status)
+	}
+	got := a.call(t, http.MethodPost, "/once/1", "same", "x")
+	if got.status != http.StatusBadGateway || !strings.Contains(got.body, `"unknown"`) {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+	if runs := a.target.Runs(); len(runs) != 1 {
+		t.Fatalf("%d runs", len(runs))
+	}
+}
