--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -11,7 +11,8 @@
 
 // remotePullJitter bounds the delay of a fetch when a peer in another data centre was
 // the first to tell of a new configuration. Meanwhile a peer in the own data centre
-// may get it, so that the text crosses between data centres less often.
+// may get it, so that the text crosses between data centres less often. A node without
+// a configuration does not wait.
 const remotePullJitter = 80 * time.Millisecond
 
 // configPuller fetches configurations from peers, one at a time.
@@ -28,7 +29,7 @@
 	}
 	go func() {
 		defer c.mu.Unlock()
-		if dataCentre != c.node.settings().DataCentre {
+		if dataCentre != c.node.settings().DataCentre && c.node.config.snapshot().routes != nil {
 			wait.For(ctx, rand.N(remotePullJitter))
 		}
 		for c.pullNewest(ctx) {
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -316,11 +316,12 @@
 	t.gate.SetDataCentreOut(config.isOutOfService(t.node.settings().DataCentre), now)
 }
 
-// tick advances the gate to the present time.
-func (t *localTarget) tick(now time.Time) {
+// tick advances the gate to the present time, and reports whether requests wait there.
+func (t *localTarget) tick(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.gate.Tick(now)
+	return t.gate.State(now).Waiting > 0
 }
 
 // sweep closes idle connections and counts the targets beside the other nodes.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -34,8 +34,10 @@
 	// larger than those of callers.
 	hopHeaderRoom = 4
 	hopBodyRoom   = 2
-	// tickInterval is the interval of the periodic work in tick.
-	tickInterval = 20 * time.Millisecond
+	// tickInterval is the interval of the periodic work in tick while requests wait at
+	// the gate, and idleTickInterval that at other times.
+	tickInterval     = 20 * time.Millisecond
+	idleTickInterval = 100 * time.Millisecond
 	// sweepInterval is the interval of closing idle connections, and of counting the
 	// targets beside the other nodes.
 	sweepInterval = 500 * time.Millisecond
@@ -191,13 +193,18 @@
 // fixed intervals until the context ends.
 func (n *Node) tick(ctx context.Context) {
 	sweepAt := time.Now()
-	wait.Every(ctx, tickInterval, func(now time.Time) {
-		n.localTarget.tick(now)
+	interval := idleTickInterval
+	for wait.For(ctx, interval) {
+		now := time.Now()
+		interval = idleTickInterval
+		if n.localTarget.tick(now) {
+			interval = tickInterval
+		}
 		if now.Before(sweepAt) {
-			return
+			continue
 		}
 		sweepAt = now.Add(sweepInterval)
 		n.localTarget.sweep(now)
 		n.hopClient.sweep(now)
-	})
+	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -53,12 +53,10 @@
 	// broadcastRequested requests messages before the next interval.
 	broadcastRequested chan struct{}
 	configPuller       configPuller
-	// lastStatus is the full status that was last sent, recipients is reused by each
-	// broadcast, and tick counts the heartbeat intervals. Only the goroutine of send
-	// uses them.
+	// lastStatus is the full status that was last sent, and recipients is reused by each
+	// broadcast. Only the goroutine of send uses them.
 	lastStatus fleet.Status
 	recipients []fleet.Recipient
-	tick       int
 	// sequence numbers the messages of this incarnation.
 	sequence atomic.Uint64
 }
@@ -112,7 +110,6 @@
 			time.Sleep(minBroadcastInterval)
 		case <-ticker.C:
 			p.selectPeers()
-			p.tick++
 			p.broadcast(fleet.OnInterval)
 			p.node.events.reachabilityChanged(tracker.Changes(p.node.fleet, time.Now()))
 		}
@@ -141,7 +138,7 @@
 		occasion = fleet.OnChange
 	}
 	p.lastStatus = status
-	p.recipients = p.node.fleet.Recipients(p.recipients[:0], occasion, p.tick, statusInterval, now)
+	p.recipients = p.node.fleet.Recipients(p.recipients[:0], occasion, statusInterval, now)
 	for i := range p.recipients {
 		p.sendTo(&p.recipients[i], &status)
 	}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -58,8 +58,11 @@
 	// then for up to evacuationListJitter for the data centres out of service,
 	// which have more time to take effect.
 	startDelay           = 12 * time.Millisecond
-	startJitter          = 400 * time.Millisecond
-	evacuationListJitter = 800 * time.Millisecond
+	startJitter          = 50 * time.Millisecond
+	evacuationListJitter = 400 * time.Millisecond
+	// largeStartJitter takes the place of startJitter in a fleet of largeFleet nodes or
+	// more, whose nodes need longer to tell each other.
+	largeStartJitter = 400 * time.Millisecond
 	// firstFleetWait is how long a node that found no others in the store waits for
 	// the configuration of one before it may read by itself. The whole fleet starts
 	// then, and each node knows the others only after its next list.
@@ -161,7 +164,11 @@
 	if s.node.fleet.NodeCount(time.Now()) == 1 {
 		s.waitUntil(ctx, firstFleetWait, func(c *configSnapshot) bool { return c.routes != nil })
 	}
-	if !s.waitForPeers(ctx, startDelay, startJitter, func(c *configSnapshot) bool { return c.routes != nil }) {
+	jitter := startJitter
+	if s.node.fleet.NodeCount(time.Now()) >= largeFleet {
+		jitter = largeStartJitter
+	}
+	if !s.waitForPeers(ctx, startDelay, jitter, func(c *configSnapshot) bool { return c.routes != nil }) {
 		if err := s.readConfig(ctx); err != nil {
 			return err
 		}
--- a/process/fleet/heartbeatpeers.go
+++ b/process/fleet/heartbeatpeers.go
@@ -224,8 +224,11 @@
 	if p.StatusOnly {
 		return max(t.settings.UnreachableAfter, time.Duration(missedIntervals*float64(t.statusOnlyInterval)))
 	}
-	if t.slowHeartbeats(p) {
-		return remoteHeartbeatTicks * t.settings.UnreachableAfter
+	switch {
+	case len(t.peers) < fullMeshNodes:
+		return t.settings.UnreachableAfter
+	case t.slowHeartbeats(p):
+		return remoteSilenceFactor * t.settings.UnreachableAfter
 	}
-	return t.settings.UnreachableAfter
+	return time.Duration(localSilenceFactor * float64(t.settings.UnreachableAfter))
 }
--- a/process/fleet/recipients.go
+++ b/process/fleet/recipients.go
@@ -3,12 +3,15 @@
 import "time"
 
 const (
-	// remoteHeartbeatTicks is the interval of heartbeats to peers in other data centres
-	// of a large fleet, in intervals of those to the others.
-	remoteHeartbeatTicks = 2
-	// minHeartbeatGap is the time since the latest message to a peer of a large fleet
-	// within which the end of an interval needs no heartbeat.
-	minHeartbeatGap = 200 * time.Millisecond
+	// localHeartbeatGap and remoteHeartbeatGap are the times after the latest message to
+	// a peer of a large fleet, in the own data centre and in others, after which the end
+	// of an interval needs a heartbeat. Load steps and statuses count as messages.
+	localHeartbeatGap  = 400 * time.Millisecond
+	remoteHeartbeatGap = 900 * time.Millisecond
+	// localSilenceFactor and remoteSilenceFactor are the factors of
+	// Settings.UnreachableAfter for such peers. They allow for the loss of one message.
+	localSilenceFactor  = 1.5
+	remoteSilenceFactor = 3
 	// silentAfter is the time without a datagram or response after which a peer gets
 	// no heartbeats, but statuses only.
 	silentAfter = 10 * time.Second
@@ -39,14 +42,14 @@
 }
 
 // Recipients appends the peers that are sent a message on this occasion to those in
-// list, and returns them. Tick counts the heartbeat intervals. Each heartbeat peer
+// list, and returns them. Each heartbeat peer
 // gets a status on a change and otherwise once per statusInterval. Status-only peers
 // take turns to get one at StatusOnlyInterval.
-func (t *Table) Recipients(list []Recipient, occasion Occasion, tick int, statusInterval time.Duration, now time.Time) []Recipient {
+func (t *Table) Recipients(list []Recipient, occasion Occasion, statusInterval time.Duration, now time.Time) []Recipient {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range t.peers {
-		due, full := t.messageDue(p, occasion, tick, statusInterval, now)
+		due, full := t.messageDue(p, occasion, statusInterval, now)
 		if !due {
 			continue
 		}
@@ -61,7 +64,7 @@
 
 // messageDue reports whether a peer is sent a message, and whether that is a status.
 // The caller holds the lock.
-func (t *Table) messageDue(p *Peer, occasion Occasion, tick int, statusInterval time.Duration, now time.Time) (due, full bool) {
+func (t *Table) messageDue(p *Peer, occasion Occasion, statusInterval time.Duration, now time.Time) (due, full bool) {
 	sinceStatus := now.Sub(p.statusAt)
 	switch {
 	case p.StatusOnly:
@@ -76,10 +79,19 @@
 		return occasion == OnInterval, true
 	case occasion == OnLoadStep:
 		return !t.slowHeartbeats(p), false
-	case t.slowHeartbeats(p):
-		return tick%remoteHeartbeatTicks == 0, false
+	case len(t.peers) < fullMeshNodes:
+		return true, false
 	}
-	return len(t.peers) < fullMeshNodes || now.Sub(p.sentAt) >= minHeartbeatGap, false
+	return now.Sub(p.sentAt) >= heartbeatGap(t.slowHeartbeats(p)), false
+}
+
+// heartbeatGap returns the time after the latest message to a peer of a large fleet
+// after which a heartbeat is due.
+func heartbeatGap(slow bool) time.Duration {
+	if slow {
+		return remoteHeartbeatGap
+	}
+	return localHeartbeatGap
 }
 
 // lastHeard returns when the latest datagram or response of the peer arrived, or when
