--- a/gateway/store.go
+++ b/gateway/store.go
@@ -161,11 +161,11 @@
 	case <-ctx.Done():
 		return nil
 	}
-	if s.node.fleet.NodeCount(time.Now()) == 1 {
+	if s.knowsNoOthers() {
 		s.waitUntil(ctx, firstFleetWait, func(c *configSnapshot) bool { return c.routes != nil })
 	}
 	jitter := startJitter
-	if s.node.fleet.NodeCount(time.Now()) >= largeFleet {
+	if s.node.fleet.KnownNodes() >= largeFleet {
 		jitter = largeStartJitter
 	}
 	if !s.waitForPeers(ctx, startDelay, jitter, func(c *configSnapshot) bool { return c.routes != nil }) {
@@ -179,10 +179,15 @@
 	return nil
 }
 
+// knowsNoOthers reports whether the store lists no other node and none was heard, as
+// when the whole fleet starts for the first time. After a restart of all, the others are
+// listed although none answers yet.
+func (s *storeSync) knowsNoOthers() bool { return s.node.fleet.KnownNodes() == 1 }
+
 // waitForPeers waits for a random time until the condition holds for the
 // configuration snapshot, and returns whether it does.
 func (s *storeSync) waitForPeers(ctx context.Context, least, jitter time.Duration, condition func(*configSnapshot) bool) bool {
-	nodes := s.node.fleet.NodeCount(time.Now())
+	nodes := s.node.fleet.KnownNodes()
 	return s.waitUntil(ctx, least+fleet.SuppressionDelay(jitter, nodes, rand.Float64()), condition)
 }
 
--- a/process/fleet/storewatch.go
+++ b/process/fleet/storewatch.go
@@ -149,6 +149,14 @@
 	return count
 }
 
+// KnownNodes returns the number of nodes that are known, this one included, whether or
+// not they have been heard.
+func (t *Table) KnownNodes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return 1 + len(t.peers)
+}
+
 // NodeCount returns the number of nodes that are taken to run, this one included.
 func (t *Table) NodeCount(now time.Time) int {
 	t.mu.Lock()
