--- a/process/fleet/recipients.go
+++ b/process/fleet/recipients.go
@@ -42,9 +42,9 @@
 }
 
 // Recipients appends the peers that are sent a message on this occasion to those in
-// list, and returns them. Each heartbeat peer
-// gets a status on a change and otherwise once per statusInterval. Status-only peers
-// take turns to get one at StatusOnlyInterval.
+// list, and returns them. Each heartbeat peer gets a status on a change and otherwise
+// once per statusInterval. Status-only peers take turns to get one at
+// StatusOnlyInterval.
 func (t *Table) Recipients(list []Recipient, occasion Occasion, statusInterval time.Duration, now time.Time) []Recipient {
 	t.mu.Lock()
 	defer t.mu.Unlock()
