Log and count how configurations reach a node

A config line now states routes, document_bytes, decode_ms, outdated_ms and failed_fetches; a failed fetch has a line of its own; a no_route line states the age of the active configuration and the newest number known. New metrics: config.outdated (histogram), config.fetches, config.fetches-failed, config.sent, config.bytes-sent, platform.bytes-read. No decision changes. Nothing measured.

--- a/gateway/config.go
+++ b/gateway/config.go
@@ -21,6 +21,8 @@
 	// source is where routes came from, the store or a peer, and activeSince when.
 	source      string
 	activeSince time.Time
+	// decodeTime is how long the text of routes took to decode.
+	decodeTime time.Duration
 	// dataCentresOut names the data centres that are out of service, sorted, as
 	// of the store revision dataCentresOutRevision.
 	dataCentresOut         []string
@@ -75,6 +77,7 @@
 // update activates the encoded configuration of the store if its number is higher
 // than that of the active one. It fails if the text can't be decoded.
 func (c *configHolder) update(text []byte, source string) error {
+	started := time.Now()
 	routes, err := c.decode(text)
 	if err != nil || routes.Version() <= c.snapshot().number() {
 		return err
@@ -83,12 +86,13 @@
 	if err != nil {
 		return err
 	}
-	c.activate(routes, document, source)
+	c.activate(routes, document, source, time.Since(started))
 	return nil
 }
 
 // updateDocument is like update for a document of a peer.
 func (c *configHolder) updateDocument(document configDocument, source string) error {
+	started := time.Now()
 	text, err := document.text()
 	if err != nil {
 		return err
@@ -97,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	c.activate(routes, document, source)
+	c.activate(routes, document, source, time.Since(started))
 	return nil
 }
 
@@ -110,7 +114,7 @@
 
 // activate publishes a configuration if its number is higher than that of the active
 // one.
-func (c *configHolder) activate(routes *version.RouteTable, document configDocument, source string) {
+func (c *configHolder) activate(routes *version.RouteTable, document configDocument, source string, decodeTime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.snapshot()
@@ -119,7 +123,7 @@
 	}
 	after := *before
 	after.routes, after.document = routes, document
-	after.source, after.activeSince = source, time.Now()
+	after.source, after.activeSince, after.decodeTime = source, time.Now(), decodeTime
 	c.publish(before, &after, source)
 }
 
--- /dev/null
+++ b/gateway/configlag.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// configLag records since when a node knows of a configuration that is newer than its
+// active one. It is safe for concurrent use.
+type configLag struct {
+	mu sync.Mutex
+	// newest is the highest number that the node has heard of.
+	newest uint64
+	// since is when the node first heard of a number above the active one, or zero if
+	// the active configuration is the newest known one.
+	since time.Time
+	// failures counts the failed fetches since then.
+	failures int
+}
+
+// heard records the number of a configuration that a peer or the store has, and
+// that of the active one.
+func (l *configLag) heard(number, active uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.newest = max(l.newest, number)
+	if l.newest > active && l.since.IsZero() {
+		l.since = now
+	}
+}
+
+// fetchFailed counts a failed fetch.
+func (l *configLag) fetchFailed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures++
+}
+
+// activated records that a configuration became active. It returns for how long the
+// node has known of a newer configuration than the one before, and how many fetches
+// failed meanwhile. Both are zero if it learnt of the configuration by its text.
+func (l *configLag) activated(number uint64, now time.Time) (outdatedFor time.Duration, failures int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.newest = max(l.newest, number)
+	if !l.since.IsZero() {
+		outdatedFor = now.Sub(l.since)
+	}
+	failures = l.failures
+	l.since, l.failures = time.Time{}, 0
+	if l.newest > number {
+		l.since = now
+	}
+	return outdatedFor, failures
+}
+
+// newestKnown returns the highest number that the node has heard of.
+func (l *configLag) newestKnown() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest
+}
--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -45,11 +45,15 @@
 	if !ok {
 		return false
 	}
+	started := time.Now()
+	c.node.metrics.configFetches.Inc(1)
 	document, err := c.node.hopClient.config(ctx, holder.HopAddress)
-	if err == nil {
-		err = c.node.config.updateDocument(document, holder.Node)
-	}
 	if err != nil {
+		c.node.configLag.fetchFailed()
+		c.node.events.configFetchFailed(holder.Node, holder.Number, time.Since(started), err)
+		return false
+	}
+	if err := c.node.config.updateDocument(document, holder.Node); err != nil {
 		c.node.events.badMessage("configuration", holder.Node, err)
 		return false
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -63,10 +63,13 @@
 	return err.Error()
 }
 
-// noRoute logs and counts a request that matches no route.
-func (e *eventLog) noRoute(id string, r *pipeline.Request, config uint64) {
+// noRoute logs and counts a request that matches no route of the active
+// configuration. Newest is the highest number of a configuration that the node has
+// heard of.
+func (e *eventLog) noRoute(id string, r *pipeline.Request, config *configSnapshot, newest uint64, now time.Time) {
 	e.metrics.noRoute.Inc(1)
-	e.journal.Log(journal.Failure, "no_route", "request", id, "host", r.Host, "path", r.Path, "config", config)
+	e.journal.Log(journal.Failure, "no_route", "request", id, "host", r.Host, "path", r.Path,
+		"config", config.number(), "config_age_ms", now.Sub(config.activeSince).Milliseconds(), "newest", newest)
 }
 
 // refusedStopping logs a request that was refused because the node is
@@ -106,11 +109,30 @@
 	e.journal.Log(journal.Failure, "fence", "request", id, "peer", peer, "same_incarnation", same, "fenced", fenced)
 }
 
-// configChanged logs a new configuration, or a change of the data centres out
-// of service.
-func (e *eventLog) configChanged(before, after *configSnapshot, source string) {
-	e.journal.Log(journal.Change, "config", "config", after.number(), "was", before.number(),
-		"out", after.dataCentresOut, "out_was", before.dataCentresOut, "out_revision", after.dataCentresOutRevision, "source", source)
+// dataCentresOutChanged logs a change of the data centres out of service.
+func (e *eventLog) dataCentresOutChanged(before, after *configSnapshot, source string) {
+	e.journal.Log(journal.Change, "config", changePairs(before, after, source)...)
+}
+
+// configActivated logs a new configuration. The node has known of a newer one than
+// the one before for outdatedFor, and failures fetches failed meanwhile.
+func (e *eventLog) configActivated(before, after *configSnapshot, source string, outdatedFor time.Duration, failures int) {
+	e.metrics.configOutdated.Update(outdatedFor)
+	pairs := append(changePairs(before, after, source), "routes", after.routes.RouteCount(), "document_bytes", len(after.document),
+		"decode_ms", after.decodeTime.Milliseconds(), "outdated_ms", outdatedFor.Milliseconds(), "failed_fetches", failures)
+	e.journal.Log(journal.Change, "config", pairs...)
+}
+
+// changePairs returns the fields that all changes of a snapshot have.
+func changePairs(before, after *configSnapshot, source string) []any {
+	return []any{"config", after.number(), "was", before.number(),
+		"out", after.dataCentresOut, "out_was", before.dataCentresOut, "out_revision", after.dataCentresOutRevision, "source", source}
+}
+
+// configFetchFailed logs and counts a failed fetch of a configuration from a peer.
+func (e *eventLog) configFetchFailed(peer string, number uint64, took time.Duration, err error) {
+	e.metrics.configFetchesFailed.Inc(1)
+	e.journal.Log(journal.Change, "config_fetch_failed", "peer", peer, "config", number, "took_ms", took.Milliseconds(), "err", errText(err))
 }
 
 // targetChanged logs a status report that changed the state of the local
--- a/gateway/hopserver.go
+++ b/gateway/hopserver.go
@@ -42,6 +42,7 @@
 		return &pipeline.Response{Status: http.StatusNotFound, Header: http.Header{}}
 	}
 	if r.Header.Get("Accept-Encoding") == documentEncoding {
+		n.metrics.configSent(len(config.document))
 		header := http.Header{"Content-Encoding": {documentEncoding}}
 		return &pipeline.Response{Status: http.StatusOK, Header: header, Body: config.document}
 	}
@@ -50,6 +51,7 @@
 		n.events.badMessage("configuration", r.RemoteAddr, err)
 		return &pipeline.Response{Status: http.StatusInternalServerError, Header: http.Header{}}
 	}
+	n.metrics.configSent(len(text))
 	return &pipeline.Response{Status: http.StatusOK, Header: http.Header{}, Body: text}
 }
 
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -76,7 +76,7 @@
 	}
 	rule := config.routes.Route(r.Host, r.Path)
 	if rule == nil {
-		n.events.noRoute(id, r, config.number())
+		n.events.noRoute(id, r, config, n.configLag.newestKnown(), time.Now())
 		return n.fail(id, &request.Failure{
 			Status: http.StatusNotFound, Title: "no route", Detail: r.Host + r.Path,
 			Outcome: request.NotRun, Step: "route",
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -32,15 +32,21 @@
 	datagramsFailed   metrics.Counter
 	targetConnections metrics.Counter
 	healthChecks      metrics.Counter
+	// configOutdated is the time for which the node knew of a newer configuration
+	// before it activated one.
+	configOutdated      metrics.Timer
+	configFetches       metrics.Counter
+	configFetchesFailed metrics.Counter
+	configsSent         metrics.Counter
+	configBytesSent     metrics.Counter
 }
 
 // newNodeMetrics registers the metrics in an empty registry.
 func newNodeMetrics(registry metrics.Registry) *nodeMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, registry) }
-	histogram := metrics.NewHistogram(metrics.NewExpDecaySample(latencyReservoirSize, latencyDecayAlpha))
 	m := &nodeMetrics{
 		registry:          registry,
-		latency:           metrics.NewCustomTimer(histogram, metrics.NewMeter()),
+		latency:           newTimer(),
 		late:              counter("requests.late"),
 		retries:           counter("requests.retries"),
 		noRoute:           counter("requests.no-route"),
@@ -52,11 +58,24 @@
 		datagramsFailed:   counter("peers.datagrams-failed"),
 		targetConnections: counter("target.connections-opened"),
 		healthChecks:      counter("target.health-checks"),
+
+		configOutdated:      newTimer(),
+		configFetches:       counter("config.fetches"),
+		configFetchesFailed: counter("config.fetches-failed"),
+		configsSent:         counter("config.sent"),
+		configBytesSent:     counter("config.bytes-sent"),
 	}
-	_ = registry.Register("requests.latency", m.latency) // the name can't be taken in an empty registry
+	_ = registry.Register("requests.latency", m.latency)       // the name can't be taken in an empty registry
+	_ = registry.Register("config.outdated", m.configOutdated) // as above
 	return m
 }
 
+// newTimer returns a timer in whose histogram recent values weigh more.
+func newTimer() metrics.Timer {
+	histogram := metrics.NewHistogram(metrics.NewExpDecaySample(latencyReservoirSize, latencyDecayAlpha))
+	return metrics.NewCustomTimer(histogram, metrics.NewMeter())
+}
+
 // requestEnded records the latency and the outcome of a caller's request.
 func (m *nodeMetrics) requestEnded(d *dispatch, r *attemptResult, took time.Duration, late bool) {
 	m.latency.Update(took)
@@ -80,6 +99,12 @@
 	m.statusesSent.Inc(1)
 }
 
+// configSent counts a configuration that was sent to a peer, and its size in bytes.
+func (m *nodeMetrics) configSent(size int) {
+	m.configsSent.Inc(1)
+	m.configBytesSent.Inc(int64(size))
+}
+
 // gateRefused counts a request that the gate refused, by reason.
 func (m *nodeMetrics) gateRefused(reason gate.Refusal) {
 	metrics.GetOrRegisterCounter("gate.refused."+string(reason), m.registry).Inc(1)
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -47,6 +47,7 @@
 // requests.
 type Node struct {
 	config          *configHolder
+	configLag       configLag
 	localTarget     *localTarget
 	health          *healthChecker
 	fleet           *fleet.Table
@@ -147,7 +148,12 @@
 // configChanged logs a new configuration snapshot, applies it to the local
 // target and sends a status to all peers.
 func (n *Node) configChanged(before, after *configSnapshot, source string) {
-	n.events.configChanged(before, after, source)
+	if after.routes == before.routes {
+		n.events.dataCentresOutChanged(before, after, source)
+	} else {
+		outdatedFor, failures := n.configLag.activated(after.number(), time.Now())
+		n.events.configActivated(before, after, source, outdatedFor, failures)
+	}
 	n.localTarget.configure(after)
 	n.peers.requestBroadcast()
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -264,6 +264,7 @@
 		p.node.config.updateDataCentresOut(status.DataCentresOut, status.OutRevision, status.Node)
 	}
 	if status.ConfigNumber > config.number() {
+		p.node.configLag.heard(status.ConfigNumber, config.number(), time.Now())
 		p.configPuller.start(ctx, status.DataCentre)
 	}
 }
--- a/process/platform/call.go
+++ b/process/platform/call.go
@@ -72,6 +72,7 @@
 	}
 	defer response.Body.Close()
 	body, err := readBody(response)
+	c.counters.bytesRead.Inc(int64(len(body)))
 	return c.dialect.Decode(request, HTTPResponse{
 		Status:  response.StatusCode,
 		Header:  response.Header,
--- a/process/platform/counters.go
+++ b/process/platform/counters.go
@@ -10,6 +10,7 @@
 // counters holds the counters of a client's calls and errors.
 type counters struct {
 	calls       [opCount]metrics.Counter
+	bytesRead   metrics.Counter
 	notFound    metrics.Counter
 	conflict    metrics.Counter
 	rateLimited metrics.Counter
@@ -22,6 +23,7 @@
 		return metrics.GetOrRegisterCounter("platform."+name, registry)
 	}
 	c := counters{
+		bytesRead:   counter("bytes-read"),
 		notFound:    counter("errors.not-found"),
 		conflict:    counter("errors.conflict"),
 		rateLimited: counter("errors.rate-limited"),
