Refuse instead of deny what a newer configuration may allow

Callers got 404 to requests for routes that a newer configuration had added, and 413 or 431 by limits that it may have raised, from nodes that knew by their peers that their configuration was outdated. Neither is sent again by a caller.

Cause: a final denial rested on the active configuration alone. A node now denies only if no peer in reach has a newer one; otherwise it answers 503, not run, with a Retry-After of 200 ms.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -22,6 +22,9 @@
 	// unconfiguredRetryAfter is the Retry-After of a node that has no
 	// configuration yet. Fetching one takes about that long.
 	unconfiguredRetryAfter = 250 * time.Millisecond
+	// outdatedRetryAfter is the Retry-After of a node that knows of a newer
+	// configuration than its own. Most fetches take about that long.
+	outdatedRetryAfter = 200 * time.Millisecond
 	// defaultHeaderBytes, defaultBodyBytes, defaultHeaderTimeout and
 	// defaultIdleTimeout are the limits for callers where the configuration
 	// sets none.
@@ -76,11 +79,7 @@
 	}
 	rule := config.routes.Route(r.Host, r.Path)
 	if rule == nil {
-		n.events.noRoute(id, r, config, n.configLag.newestKnown(), time.Now())
-		return n.fail(id, &request.Failure{
-			Status: http.StatusNotFound, Title: "no route", Detail: r.Host + r.Path,
-			Outcome: request.NotRun, Step: "route",
-		})
+		return n.noRoute(id, r, config)
 	}
 	if !rule.Idempotent && !awaitPreceding(ctx, r.PrecedingAnswered) {
 		return n.fail(id, callerLeft())
@@ -95,6 +94,35 @@
 	return n.fail(id, d.failure(&res))
 }
 
+// noRoute returns the response to a request that matches no route of the active
+// configuration.
+func (n *Node) noRoute(id string, r *pipeline.Request, config *configSnapshot) *pipeline.Response {
+	now := time.Now()
+	n.events.noRoute(id, r, config, n.configLag.newestKnown(), now)
+	if n.isOutdated(config, now) {
+		return n.fail(id, outdated("route"))
+	}
+	return n.fail(id, &request.Failure{
+		Status: http.StatusNotFound, Title: "no route", Detail: r.Host + r.Path,
+		Outcome: request.NotRun, Step: "route",
+	})
+}
+
+// isOutdated reports whether a peer in reach has a newer configuration. What the
+// snapshot does not allow may be allowed by that one.
+func (n *Node) isOutdated(config *configSnapshot, now time.Time) bool {
+	return n.fleet.NewestConfig(now) > config.number()
+}
+
+// outdated returns the failure of a request that the active configuration does not
+// allow although a newer one may.
+func outdated(step string) *request.Failure {
+	return &request.Failure{
+		Status: http.StatusServiceUnavailable, Title: "the configuration is outdated",
+		Outcome: request.NotRun, Step: step, RetryAfter: outdatedRetryAfter,
+	}
+}
+
 // awaitPreceding waits until the earlier requests on the connection are answered.
 // It returns false if the context ends first. A non-idempotent request has to
 // wait, since it must not have run if an earlier response closes the connection.
@@ -187,8 +215,18 @@
 	return &pipeline.Response{Status: f.Status, Header: header, Body: body}
 }
 
-// reject returns the response to a request that can't be parsed.
+// reject returns the response to a request that can't be parsed or that exceeds a
+// limit.
 func (n *Node) reject(status int, reason string) *pipeline.Response {
 	n.events.rejected(status, reason)
+	if exceedsLimit(status) && n.isOutdated(n.config.snapshot(), time.Now()) {
+		return n.fail("", outdated("read"))
+	}
 	return n.fail("", &request.Failure{Status: status, Title: reason, Outcome: request.NotRun, Step: "read"})
 }
+
+// exceedsLimit reports whether a status rejects a request because of a limit that the
+// configuration sets.
+func exceedsLimit(status int) bool {
+	return status == http.StatusRequestEntityTooLarge || status == http.StatusRequestHeaderFieldsTooLarge
+}
--- a/process/fleet/configholder.go
+++ b/process/fleet/configholder.go
@@ -49,6 +49,20 @@
 	return ConfigHolder{Node: s.Node, HopAddress: s.HopAddress, Number: s.ConfigNumber}, true
 }
 
+// NewestConfig returns the highest number of a configuration among the peers that were
+// heard recently, or zero if there are none.
+func (t *Table) NewestConfig(now time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	newest := uint64(0)
+	for _, p := range t.peers {
+		if t.receivedRecently(p, now) {
+			newest = max(newest, p.Status.ConfigNumber)
+		}
+	}
+	return newest
+}
+
 // servesConfig reports whether a configuration can probably be fetched from a peer.
 // The caller holds the lock.
 func (t *Table) servesConfig(p *Peer, now time.Time) bool {
