Poll the store without the text of the configuration

What callers saw: the nodes that read the store for the fleet failed readiness checks and served late while a long configuration was active.

Cause: every poll, 0.6 s apart, transferred the whole text. A poll now lists the data centres out of service, which are few and were polled anyway, and compares the store's revision with the one at which the configuration was last read; only if the store has changed since does it read the text. Polls of the other nodes, which only show whether the store is reached, never do.

--- a/gateway/store.go
+++ b/gateway/store.go
@@ -26,8 +26,7 @@
 	// open. Polls find the changes that a watch fails to report.
 	watchTimeout = 25 * time.Second
 	// activePollInterval is the interval at which the active watchers together
-	// poll the configuration. They poll because a watch may not report a
-	// change.
+	// poll the store. They poll because a watch may not report a change.
 	activePollInterval = 600 * time.Millisecond
 	// standbyPollInterval is the mean interval of polls by a standby node, or
 	// standbyPollIntervalPerNode for each node of the fleet if that is longer, so that
@@ -35,10 +34,6 @@
 	// the store.
 	standbyPollInterval        = 20 * time.Second
 	standbyPollIntervalPerNode = 1500 * time.Millisecond
-	// pollsPerEvacuationList is the number of polls of the configuration for
-	// each list of the data centres out of service. Evacuations have more time
-	// to take effect than a configuration.
-	pollsPerEvacuationList = 2
 	// maxActiveWatchers is the number of nodes that watch the store for the
 	// fleet. The other nodes learn of changes from them. With three, the loss
 	// of any two at once delays no change. In a fleet of largeFleet nodes or more,
@@ -104,6 +99,9 @@
 	// configVersion is the version of the object that was last applied as the
 	// configuration.
 	configVersion atomic.Uint64
+	// configRevision is the latest revision of the store at which the configuration
+	// was read.
+	configRevision atomic.Uint64
 	// listed is closed by firstList after the first list of the nodes, also if it
 	// failed.
 	listed    chan struct{}
@@ -174,7 +172,8 @@
 		}
 	}
 	if !s.waitForPeers(ctx, 0, evacuationListJitter, func(c *configSnapshot) bool { return c.dataCentresOutRevision > 0 }) {
-		return s.listEvacuations(ctx)
+		_, err := s.listEvacuations(ctx)
+		return err
 	}
 	return nil
 }
@@ -224,12 +223,36 @@
 		s.recordCallResult(err)
 	}
 	wait.For(ctx, firstPollDelay+rand.N(firstPollDelay))
-	for polls := 0; s.waitForNextPoll(ctx); polls++ {
-		err := s.readConfig(ctx)
-		if err == nil && polls%pollsPerEvacuationList == 0 && s.watchRole().Active {
-			err = s.listEvacuations(ctx)
+	for s.waitForNextPoll(ctx) {
+		s.recordCallResult(s.poll(ctx))
+	}
+}
+
+// poll lists the data centres out of service. An active watcher then reads the
+// configuration, whose text is long, if the store has changed since it was last read.
+// Other nodes get configurations from their peers.
+func (s *storeSync) poll(ctx context.Context) error {
+	revision, err := s.listEvacuations(ctx)
+	if err != nil {
+		return err
+	}
+	configured := s.node.config.snapshot().routes != nil
+	if configured && (!s.watchRole().Active || revision == s.configRevision.Load()) {
+		return nil
+	}
+	if err := s.readConfig(ctx); err != nil {
+		return err
+	}
+	s.confirmConfig(revision)
+	return nil
+}
+
+// confirmConfig records that the configuration was read as of a revision.
+func (s *storeSync) confirmConfig(revision uint64) {
+	for known := s.configRevision.Load(); revision > known; known = s.configRevision.Load() {
+		if s.configRevision.CompareAndSwap(known, revision) {
+			return
 		}
-		s.recordCallResult(err)
 	}
 }
 
@@ -305,21 +328,29 @@
 	return nil
 }
 
-// listEvacuations lists the data centres out of service and applies the list.
-func (s *storeSync) listEvacuations(ctx context.Context) error {
+// listEvacuations lists the data centres out of service and applies the list. It
+// returns the revision of the store.
+func (s *storeSync) listEvacuations(ctx context.Context) (uint64, error) {
 	objects, revision, err := s.client.List(ctx, platform.PrefixEvacuations)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.applyEvacuations(store.Update{Objects: objects, Revision: revision, Snapshot: true})
-	return nil
+	return revision, nil
 }
 
 // applyConfig applies an update of the configuration. A deleted configuration
 // stays active. An object that was applied before is not decoded again.
 func (s *storeSync) applyConfig(u store.Update) {
+	if u.Snapshot {
+		s.confirmConfig(u.Revision)
+	}
 	for _, object := range u.Objects {
-		if object.Key != platform.KeyConfig || object.Deleted || object.Version > 0 && object.Version == s.configVersion.Load() {
+		if object.Key != platform.KeyConfig || object.Deleted {
+			continue
+		}
+		s.confirmConfig(object.Version)
+		if object.Version > 0 && object.Version == s.configVersion.Load() {
 			continue
 		}
 		if err := s.node.config.update(object.Value, "store"); err != nil {
