Bound how many nodes fetch a configuration at once

Cause, a congestion collapse: all nodes hear of a new number at once and fetched the text from the two or three nodes that had it, each over a link of 10 Mbit/s and on 0.16 of a core. The transfers shared the link, ended at their timeout of 500 ms and began anew; most dials timed out too. Evidence: about 50 failed fetches at each large change, 350 ms dial timeouts at the first holders. Ruled out: decoding (at most 265 ms) and a wrong table (404s at nodes with the newest number are for routes that don't exist).

Change: a node sends two configurations at a time and declines further ones at once; of the nodes that want one, about one asks for each holder that it knows; a fetch ends when no byte arrives for 600 ms, not after a fixed time; after a failure the next holder is asked.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,10 +45,45 @@
 	keepAlive time.Duration
 	// used is set once the connection has carried a response.
 	used bool
+
+	// deadlineMu guards cancelled and the deadlines, which are set by the goroutine
+	// that reads and at the end of the context.
+	deadlineMu sync.Mutex
+	// cancelled is set when the context of the request has ended.
+	cancelled bool
+	// readTimeout is Request.ReadTimeout of the request.
+	readTimeout time.Duration
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	wrapped := &conn{Conn: c}
+	wrapped.reader = bufio.NewReaderSize(wrapped, readBufferSize)
+	return wrapped
+}
+
+// Read implements net.Conn. It applies the read timeout of the request.
+func (c *conn) Read(p []byte) (int, error) {
+	c.deadlineMu.Lock()
+	if c.readTimeout > 0 && !c.cancelled {
+		_ = c.SetReadDeadline(time.Now().Add(c.readTimeout)) // the read below fails on a closed connection
+	}
+	c.deadlineMu.Unlock()
+	return c.Conn.Read(p)
+}
+
+// begin prepares the connection for a request.
+func (c *conn) begin(readTimeout time.Duration) {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.cancelled, c.readTimeout = false, readTimeout
+}
+
+// cancel fails pending and further reads and writes of the request.
+func (c *conn) cancel() {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.cancelled = true
+	_ = c.SetDeadline(time.Unix(1, 0)) // fails only if the connection is already closed
 }
 
 // isUsable reports whether the connection can carry another request: it is
@@ -78,7 +114,8 @@
 // whether the connection may be used again. The end of ctx fails pending reads
 // and writes.
 func (c *conn) roundTrip(ctx context.Context, request *Request, idHeader string, maxBody int64) (*Response, bool, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	c.begin(request.ReadTimeout)
+	stop := context.AfterFunc(ctx, c.cancel)
 	defer stop()
 	requestWritten, err := c.writeRequest(request)
 	if err != nil {
@@ -88,7 +125,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if !stop() {
+	if !stop() || request.ReadTimeout > 0 && c.SetReadDeadline(time.Time{}) != nil {
 		reusable = false
 	}
 	return response, reusable && c.awaitRequestWritten(requestWritten), nil
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -323,3 +323,59 @@
 		t.Fatalf("a successful response without an ID was accepted: %v", response)
 	}
 }
+
+// A server sends a long response slowly, or stops in the middle of it. The read timeout
+// has to end only the second one, long before the deadline of the request, and must not
+// end later requests on the connection.
+func TestReadTimeoutEndsStalledResponsesOnly(t *testing.T) {
+	const pause, timeout = 60 * time.Millisecond, 500 * time.Millisecond
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	stalled := make(chan struct{})
+	t.Cleanup(func() { close(stalled) })
+	go func() {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		reader := bufio.NewReader(c)
+		for i := range 3 {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n")
+			for range 20 {
+				_, _ = io.WriteString(c, "x")
+				if i == 2 {
+					<-stalled
+				}
+				time.Sleep(pause)
+			}
+		}
+	}()
+	pool := NewPool(listener.Addr().String(), Options{IdleTimeout: time.Minute})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	get := func(readTimeout time.Duration) (*Response, error) {
+		return pool.Do(ctx, &Request{Method: http.MethodGet, RequestURI: "/", Host: "h", ReadTimeout: readTimeout}, 0)
+	}
+	for _, readTimeout := range []time.Duration{timeout, 0} {
+		if response, err := get(readTimeout); err != nil || len(response.Body) != 20 {
+			t.Fatalf("a slow response with read timeout %v: %v, %v", readTimeout, response, err)
+		}
+	}
+	if pool.OpenConnections() != 1 {
+		t.Fatalf("%d connections: the first was not used again", pool.OpenConnections())
+	}
+	if failure := AsError(second(get(timeout))); failure == nil || failure.Kind != KindTimeout {
+		t.Fatalf("a stalled response: %v", failure)
+	}
+}
+
+// second returns the second of two values.
+func second[A, B any](_ A, b B) B { return b }
--- a/connection/exchange/message.go
+++ b/connection/exchange/message.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Request is an HTTP request with its whole body.
@@ -22,6 +23,9 @@
 	// ID is the value that the response must repeat in the header
 	// Options.IDHeader. If it is empty, any response is accepted.
 	ID string
+	// ReadTimeout bounds each wait for bytes of the response. Zero means that only
+	// the context bounds it.
+	ReadTimeout time.Duration
 }
 
 // Response is an HTTP response with its whole body.
--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -6,14 +6,32 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"verbenatrestle/internal/wait"
+	"verbenatrestle/process/fleet"
+)
+
+const (
+	// configReadTimeout bounds each wait for bytes of a configuration, and
+	// configFetchTimeout the whole transfer, which may take seconds on a slow link.
+	configReadTimeout  = 600 * time.Millisecond
+	configFetchTimeout = 5 * time.Second
+	// configTransferTimeout is how long a transfer counts for
+	// fleet.MaxConfigTransfers.
+	configTransferTimeout = 2 * time.Second
+	// minHolderBusy and maxHolderBusy bound the random time for which a peer that was
+	// busy with other transfers is not asked again. Most transfers end within that
+	// time, and their receivers can be asked as well.
+	minHolderBusy = 40 * time.Millisecond
+	maxHolderBusy = 160 * time.Millisecond
+	// pullRetryInterval is the mean interval at which a node that knows of a newer
+	// configuration checks whether a peer can be asked for it.
+	pullRetryInterval = 40 * time.Millisecond
 )
 
-// remotePullJitter bounds the delay of a fetch when a peer in another data centre was
-// the first to tell of a new configuration. Meanwhile a peer in the own data centre
-// may get it, so that the text crosses between data centres less often. A node without
-// a configuration does not wait.
-const remotePullJitter = 80 * time.Millisecond
+// errConfigBusy means that a node sends as many configurations as it may.
+var errConfigBusy = errors.New("the node is busy sending configurations")
 
 // configPuller fetches configurations from peers, one at a time.
 type configPuller struct {
@@ -22,40 +40,56 @@
 }
 
 // start begins to fetch the newest configuration that any peer has, unless a fetch
-// runs already. It does not block. DataCentre is that of the peer that told of it.
-func (c *configPuller) start(ctx context.Context, dataCentre string) {
+// runs already. It does not block.
+func (c *configPuller) start(ctx context.Context) {
 	if !c.mu.TryLock() {
 		return
 	}
 	go func() {
 		defer c.mu.Unlock()
-		if dataCentre != c.node.settings().DataCentre && c.node.config.snapshot().routes != nil {
-			wait.For(ctx, rand.N(remotePullJitter))
-		}
-		for c.pullNewest(ctx) {
-		}
+		c.pull(ctx)
 	}()
 }
 
-// pullNewest fetches the configuration of one of the peers that have the newest one.
-// It returns false if none is newer than the active one, or if the fetch failed.
-func (c *configPuller) pullNewest(ctx context.Context) bool {
+// pull fetches configurations until no peer in reach has a newer one than this node.
+func (c *configPuller) pull(ctx context.Context) {
+	for ctx.Err() == nil && c.node.isOutdated(c.node.config.snapshot(), time.Now()) {
+		if !c.fetch(ctx) {
+			wait.For(ctx, pullRetryInterval/2+rand.N(pullRetryInterval))
+		}
+	}
+}
+
+// fetch asks one of the peers that have the newest configuration for it. It returns
+// false if no peer can be asked now, or if the fetch failed. The peer is then not asked
+// again for a while.
+func (c *configPuller) fetch(ctx context.Context) bool {
 	number := c.node.config.snapshot().number()
-	holder, ok := c.node.fleet.ConfigHolder(number, c.node.settings().DataCentre, rand.Float64(), time.Now())
+	started := time.Now()
+	holder, ok := c.node.fleet.ConfigHolder(number, c.node.settings().DataCentre, rand.Float64(), started)
 	if !ok {
 		return false
 	}
-	started := time.Now()
-	c.node.metrics.configFetches.Inc(1)
 	document, err := c.node.hopClient.config(ctx, holder.HopAddress)
-	if err != nil {
-		c.node.configLag.fetchFailed()
-		c.node.events.configFetchFailed(holder.Node, holder.Number, time.Since(started), err)
-		return false
+	if err == nil {
+		c.node.metrics.configFetches.Inc(1)
+		if err = c.node.config.updateDocument(document, holder.Node); err == nil {
+			return c.node.config.snapshot().number() > number
+		}
 	}
-	if err := c.node.config.updateDocument(document, holder.Node); err != nil {
-		c.node.events.badMessage("configuration", holder.Node, err)
-		return false
+	c.fetchFailed(holder, started, err)
+	return false
+}
+
+// fetchFailed records that a peer did not send its configuration.
+func (c *configPuller) fetchFailed(holder fleet.ConfigHolder, started time.Time, err error) {
+	now := time.Now()
+	if errors.Is(err, errConfigBusy) {
+		c.node.metrics.configHolderBusy.Inc(1)
+		c.node.fleet.AvoidConfigHolder(holder.Node, now.Add(minHolderBusy+rand.N(maxHolderBusy-minHolderBusy)))
+		return
 	}
-	return c.node.config.snapshot().number() > number
+	c.node.configLag.fetchFailed()
+	c.node.events.configFetchFailed(holder.Node, holder.Number, now.Sub(started), err)
+	c.node.fleet.AvoidConfigHolder(holder.Node, now.Add(avoidFor))
 }
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -57,8 +57,7 @@
 	// does not close a connection that is about to be used.
 	hopIdleTimeout       = 6 * time.Second
 	hopServerIdleTimeout = 12 * time.Second
-	// hopCallTimeout bounds a hop that does not run a request: a fence or the
-	// fetch of a configuration.
+	// hopCallTimeout bounds a fence.
 	hopCallTimeout = 500 * time.Millisecond
 	// hopGrace is how long the sender waits for the response after the deadline:
 	// the grace that the other node gives its target, and the time of the hop.
@@ -187,15 +186,23 @@
 	return err == nil && response.Status == http.StatusOK
 }
 
-// config fetches the configuration of another node.
+// config fetches the configuration of another node. The error is errConfigBusy if the
+// node sends as many as it may.
 func (h *hopClient) config(ctx context.Context, address string) (configDocument, error) {
 	header := http.Header{}
 	header.Set(request.HeaderHop, hopConfig)
 	header.Set("Accept-Encoding", documentEncoding)
-	response, err := h.call(ctx, address, &exchange.Request{Method: http.MethodGet, RequestURI: "/", Header: header})
+	ctx, cancel := context.WithTimeout(ctx, configFetchTimeout)
+	defer cancel()
+	response, err := h.do(ctx, address, &exchange.Request{
+		Method: http.MethodGet, RequestURI: "/", Host: address, Header: header, ReadTimeout: configReadTimeout,
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "fetch configuration")
 	}
+	if response.Status == http.StatusServiceUnavailable {
+		return nil, errConfigBusy
+	}
 	if response.Status != http.StatusOK {
 		return nil, errors.Errorf("fetch configuration from %s: status %d", address, response.Status)
 	}
@@ -205,7 +212,7 @@
 	return response.Body, nil
 }
 
-// call sends a hop that does not run a request.
+// call sends a hop that neither runs a request nor transfers much.
 func (h *hopClient) call(ctx context.Context, address string, message *exchange.Request) (*exchange.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, hopCallTimeout)
 	defer cancel()
--- a/gateway/hopserver.go
+++ b/gateway/hopserver.go
@@ -34,24 +34,35 @@
 	return response
 }
 
-// serveConfig answers with the configuration, compressed if the other node accepts
-// that.
+// serveConfig answers with the configuration, or with 503 if as many transfers as are
+// allowed run already.
 func (n *Node) serveConfig(r *pipeline.Request) *pipeline.Response {
 	config := n.config.snapshot()
 	if config.routes == nil {
 		return &pipeline.Response{Status: http.StatusNotFound, Header: http.Header{}}
 	}
+	transfer, ok := n.configTransfers.Begin(time.Now())
+	if !ok {
+		return &pipeline.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+	}
+	response := n.encodeConfig(r, config.document)
+	response.OnWritten = func(error) { n.configTransfers.End(transfer) }
+	n.metrics.configSent(len(response.Body))
+	return response
+}
+
+// encodeConfig returns the response with a configuration, compressed if the other node
+// accepts that.
+func (n *Node) encodeConfig(r *pipeline.Request, document configDocument) *pipeline.Response {
 	if r.Header.Get("Accept-Encoding") == documentEncoding {
-		n.metrics.configSent(len(config.document))
 		header := http.Header{"Content-Encoding": {documentEncoding}}
-		return &pipeline.Response{Status: http.StatusOK, Header: header, Body: config.document}
+		return &pipeline.Response{Status: http.StatusOK, Header: header, Body: document}
 	}
-	text, err := config.document.text()
+	text, err := document.text()
 	if err != nil {
 		n.events.badMessage("configuration", r.RemoteAddr, err)
 		return &pipeline.Response{Status: http.StatusInternalServerError, Header: http.Header{}}
 	}
-	n.metrics.configSent(len(text))
 	return &pipeline.Response{Status: http.StatusOK, Header: http.Header{}, Body: text}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,7 @@
 	configOutdated      metrics.Timer
 	configFetches       metrics.Counter
 	configFetchesFailed metrics.Counter
+	configHolderBusy    metrics.Counter
 	configsSent         metrics.Counter
 	configBytesSent     metrics.Counter
 }
@@ -62,6 +63,7 @@
 		configOutdated:      newTimer(),
 		configFetches:       counter("config.fetches"),
 		configFetchesFailed: counter("config.fetches-failed"),
+		configHolderBusy:    counter("config.holder-busy"),
 		configsSent:         counter("config.sent"),
 		configBytesSent:     counter("config.bytes-sent"),
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -48,6 +48,7 @@
 type Node struct {
 	config          *configHolder
 	configLag       configLag
+	configTransfers *fleet.TransferLimiter
 	localTarget     *localTarget
 	health          *healthChecker
 	fleet           *fleet.Table
@@ -88,6 +89,7 @@
 	n.rngs = &sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }}
 	n.fleet = fleet.NewTable(fleet.Settings{UnreachableAfter: unreachableAfter, ForgetAfter: forgetAfter, AvoidFor: avoidFor})
 	n.config = newConfigHolder(n.configChanged)
+	n.configTransfers = fleet.NewTransferLimiter(fleet.MaxConfigTransfers, configTransferTimeout)
 	n.localTarget = newLocalTarget(n, gate.Settings{
 		QueueShare: queueShare, NestedShare: nestedShare, DedupWindow: dedupWindow,
 		RetryBudget: settings.Limits.retryBudget(),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -265,6 +265,6 @@
 	}
 	if status.ConfigNumber > config.number() {
 		p.node.configLag.heard(status.ConfigNumber, config.number(), time.Now())
-		p.configPuller.start(ctx, status.DataCentre)
+		p.configPuller.start(ctx)
 	}
 }
--- a/process/fleet/configholder.go
+++ b/process/fleet/configholder.go
@@ -14,10 +14,17 @@
 	Number uint64
 }
 
-// ConfigHolder returns one of the peers whose configuration has the highest number,
-// if that is above the given one, and false otherwise. Peers in the given data centre
-// are preferred. Which of them it is follows from pick, a random number in [0, 1), so
-// that many nodes don't ask the same peer.
+// MaxConfigTransfers is how many configurations a node sends at once.
+const MaxConfigTransfers = 2
+
+// ConfigHolder returns one of the peers whose configuration has the highest number, if
+// that is above the given one. Peers in the given data centre are preferred. Pick, a
+// random number in [0, 1), chooses among them.
+//
+// All nodes hear of a new configuration at once, and a few holders can't serve them
+// all. So only a share of the nodes that want it may ask now, one for each holder on
+// average; for the others the result is false, and they call again after a while. That
+// share grows as the configuration spreads.
 func (t *Table) ConfigHolder(above uint64, dataCentre string, pick float64, now time.Time) (ConfigHolder, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -30,23 +37,34 @@
 	if highest == above {
 		return ConfigHolder{}, false
 	}
-	var local, remote []*Peer
+	holders, outdated := t.configHolders(highest, dataCentre, now)
+	if len(holders) == 0 {
+		holders, outdated = t.configHolders(highest, "", now)
+	}
+	share := min(1, float64(len(holders))/float64(outdated))
+	if pick >= share {
+		return ConfigHolder{}, false
+	}
+	s := &holders[int(pick/share*float64(len(holders)))].Status
+	return ConfigHolder{Node: s.Node, HopAddress: s.HopAddress, Number: s.ConfigNumber}, true
+}
+
+// configHolders returns the peers of a data centre, or of all if it is empty, that have
+// the configuration with the given number, ordered by node. It also counts the nodes
+// there that want it, this one included. The caller holds the lock.
+func (t *Table) configHolders(number uint64, dataCentre string, now time.Time) (holders []*Peer, outdated int) {
+	outdated = 1
 	for _, p := range t.peers {
 		switch {
-		case p.Status.ConfigNumber != highest || !t.servesConfig(p, now):
-		case p.Status.DataCentre == dataCentre:
-			local = append(local, p)
-		default:
-			remote = append(remote, p)
+		case dataCentre != "" && p.Status.DataCentre != dataCentre || !t.receivedRecently(p, now):
+		case p.Status.ConfigNumber < number:
+			outdated++
+		case p.Status.ConfigNumber == number && t.servesConfig(p, now):
+			holders = append(holders, p)
 		}
 	}
-	holders := local
-	if len(holders) == 0 {
-		holders = remote
-	}
 	slices.SortFunc(holders, func(a, b *Peer) int { return strings.Compare(a.Status.Node, b.Status.Node) })
-	s := &holders[int(pick*float64(len(holders)))].Status
-	return ConfigHolder{Node: s.Node, HopAddress: s.HopAddress, Number: s.ConfigNumber}, true
+	return holders, outdated
 }
 
 // NewestConfig returns the highest number of a configuration among the peers that were
@@ -63,8 +81,18 @@
 	return newest
 }
 
+// AvoidConfigHolder makes ConfigHolder pass over a peer until the given time, because
+// it did not send its configuration.
+func (t *Table) AvoidConfigHolder(node string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[node]; p != nil {
+		p.avoidConfigUntil = until
+	}
+}
+
 // servesConfig reports whether a configuration can probably be fetched from a peer.
 // The caller holds the lock.
 func (t *Table) servesConfig(p *Peer, now time.Time) bool {
-	return t.receivedRecently(p, now) && !now.Before(p.avoidUntil)
+	return t.receivedRecently(p, now) && !now.Before(p.avoidUntil) && !now.Before(p.avoidConfigUntil)
 }
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -39,6 +39,9 @@
 	// avoidUntil is the end of the time during which the node gets no requests
 	// because a hop to it failed.
 	avoidUntil time.Time
+	// avoidConfigUntil is the end of the time during which the node is not asked for
+	// its configuration.
+	avoidConfigUntil time.Time
 	// formerIncarnations holds incarnations that ended, the latest last.
 	formerIncarnations []uint64
 	// inFlight counts the requests of this node that are in flight to the peer.
