Begin another pull if a status arrives while one ends

A status that told of a newer configuration between the last check of a pull and the release of its lock was dropped; the node stayed outdated until the next status, up to a second. TestStatusAtTheEndOfAPullIsNotLost fails with the lock that only one caller takes (pull 2 does not begin) and passes.

--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -35,61 +35,82 @@
 
 // configPuller fetches configurations from peers, one at a time.
 type configPuller struct {
-	node *Node
-	mu   sync.Mutex
+	// pull fetches configurations until no peer in reach has a newer one.
+	pull func(context.Context)
+
+	mu      sync.Mutex
+	running bool
+	// again is set if start was called while a pull was running.
+	again bool
 }
 
-// start begins to fetch the newest configuration that any peer has, unless a fetch
-// runs already. It does not block.
+// start begins a pull, or another one after the pull that runs. It does not block.
 func (c *configPuller) start(ctx context.Context) {
-	if !c.mu.TryLock() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running {
+		c.again = true
 		return
 	}
-	go func() {
-		defer c.mu.Unlock()
+	c.running = true
+	go c.run(ctx)
+}
+
+// run pulls until start was not called during a pull.
+func (c *configPuller) run(ctx context.Context) {
+	for {
 		c.pull(ctx)
-	}()
+		c.mu.Lock()
+		if !c.again {
+			c.running = false
+			c.mu.Unlock()
+			return
+		}
+		c.again = false
+		c.mu.Unlock()
+	}
 }
 
-// pull fetches configurations until no peer in reach has a newer one than this node.
-func (c *configPuller) pull(ctx context.Context) {
-	for ctx.Err() == nil && c.node.isOutdated(c.node.config.snapshot(), time.Now()) {
-		if !c.fetch(ctx) {
+// pullConfig fetches configurations until no peer in reach has a newer one than this
+// node.
+func (n *Node) pullConfig(ctx context.Context) {
+	for ctx.Err() == nil && n.isOutdated(n.config.snapshot(), time.Now()) {
+		if !n.fetchConfig(ctx) {
 			wait.For(ctx, pullRetryInterval/2+rand.N(pullRetryInterval))
 		}
 	}
 }
 
-// fetch asks one of the peers that have the newest configuration for it. It returns
+// fetchConfig asks one of the peers that have the newest configuration for it. It returns
 // false if no peer can be asked now, or if the fetch failed. The peer is then not asked
 // again for a while.
-func (c *configPuller) fetch(ctx context.Context) bool {
-	number := c.node.config.snapshot().number()
+func (n *Node) fetchConfig(ctx context.Context) bool {
+	number := n.config.snapshot().number()
 	started := time.Now()
-	holder, ok := c.node.fleet.ConfigHolder(number, c.node.settings().DataCentre, rand.Float64(), started)
+	holder, ok := n.fleet.ConfigHolder(number, n.settings().DataCentre, rand.Float64(), started)
 	if !ok {
 		return false
 	}
-	document, err := c.node.hopClient.config(ctx, holder.HopAddress)
+	document, err := n.hopClient.config(ctx, holder.HopAddress)
 	if err == nil {
-		c.node.metrics.configFetches.Inc(1)
-		if err = c.node.config.updateDocument(document, holder.Node); err == nil {
-			return c.node.config.snapshot().number() > number
+		n.metrics.configFetches.Inc(1)
+		if err = n.config.updateDocument(document, holder.Node); err == nil {
+			return n.config.snapshot().number() > number
 		}
 	}
-	c.fetchFailed(holder, started, err)
+	n.configFetchFailed(holder, started, err)
 	return false
 }
 
-// fetchFailed records that a peer did not send its configuration.
-func (c *configPuller) fetchFailed(holder fleet.ConfigHolder, started time.Time, err error) {
+// configFetchFailed records that a peer did not send its configuration.
+func (n *Node) configFetchFailed(holder fleet.ConfigHolder, started time.Time, err error) {
 	now := time.Now()
 	if errors.Is(err, errConfigBusy) {
-		c.node.metrics.configHolderBusy.Inc(1)
-		c.node.fleet.AvoidConfigHolder(holder.Node, now.Add(minHolderBusy+rand.N(maxHolderBusy-minHolderBusy)))
+		n.metrics.configHolderBusy.Inc(1)
+		n.fleet.AvoidConfigHolder(holder.Node, now.Add(minHolderBusy+rand.N(maxHolderBusy-minHolderBusy)))
 		return
 	}
-	c.node.configLag.fetchFailed()
-	c.node.events.configFetchFailed(holder.Node, holder.Number, now.Sub(started), err)
-	c.node.fleet.AvoidConfigHolder(holder.Node, now.Add(avoidFor))
+	n.configLag.fetchFailed()
+	n.events.configFetchFailed(holder.Node, holder.Number, now.Sub(started), err)
+	n.fleet.AvoidConfigHolder(holder.Node, now.Add(avoidFor))
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -72,7 +72,7 @@
 		codec:              codec,
 		incarnation:        incarnation,
 		broadcastRequested: make(chan struct{}, 1),
-		configPuller:       configPuller{node: n},
+		configPuller:       configPuller{pull: n.pullConfig},
 	}
 }
 
