Don't fetch an undecodable configuration from each peer in turn

With fetches that go on to the next holder after a failure, a node that can't decode a configuration, as may be in a rolling upgrade, would transfer its text again and again. Its number is now passed over for 10 s; a later one is fetched at once. TestUndecodableConfigurationIsNotFetchedAgainAtOnce fails without that (8 transfers to one node in a second) and passes.

--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -25,6 +25,9 @@
 	// time, and their receivers can be asked as well.
 	minHolderBusy = 40 * time.Millisecond
 	maxHolderBusy = 160 * time.Millisecond
+	// undecodableRetryInterval is how long a configuration that could not be decoded is
+	// not fetched again.
+	undecodableRetryInterval = 10 * time.Second
 	// pullRetryInterval is the mean interval at which a node that knows of a newer
 	// configuration checks whether a peer can be asked for it.
 	pullRetryInterval = 40 * time.Millisecond
@@ -42,6 +45,11 @@
 	running bool
 	// again is set if start was called while a pull was running.
 	again bool
+
+	// undecodable is the number of the latest configuration that could not be decoded,
+	// and undecodableAt when. Only the pull uses them.
+	undecodable   uint64
+	undecodableAt time.Time
 }
 
 // start begins a pull, or another one after the pull that runs. It does not block.
@@ -87,19 +95,23 @@
 func (n *Node) fetchConfig(ctx context.Context) bool {
 	number := n.config.snapshot().number()
 	started := time.Now()
+	puller := &n.peers.configPuller
 	holder, ok := n.fleet.ConfigHolder(number, n.settings().DataCentre, rand.Float64(), started)
-	if !ok {
+	if !ok || holder.Number == puller.undecodable && started.Sub(puller.undecodableAt) < undecodableRetryInterval {
 		return false
 	}
 	document, err := n.hopClient.config(ctx, holder.HopAddress)
-	if err == nil {
-		n.metrics.configFetches.Inc(1)
-		if err = n.config.updateDocument(document, holder.Node); err == nil {
-			return n.config.snapshot().number() > number
-		}
+	if err != nil {
+		n.configFetchFailed(holder, started, err)
+		return false
+	}
+	n.metrics.configFetches.Inc(1)
+	if err := n.config.updateDocument(document, holder.Node); err != nil {
+		puller.undecodable, puller.undecodableAt = holder.Number, time.Now()
+		n.configFetchFailed(holder, started, err)
+		return false
 	}
-	n.configFetchFailed(holder, started, err)
-	return false
+	return n.config.snapshot().number() > number
 }
 
 // configFetchFailed records that a peer did not send its configuration.
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"testing"
 	"time"
+
+	"verbenatrestle/platform"
+	"verbenatrestle/platform/standin"
 )
 
 // A status tells of a newer configuration at the moment at which a pull has found none
@@ -33,3 +36,31 @@
 		return len(pulls) > 0
 	})
 }
+
+// Peers have a configuration that this node can't decode, as in a rolling upgrade. It
+// must not fetch the text from one after the other without a pause, and must take the
+// next configuration at once.
+func TestUndecodableConfigurationIsNotFetchedAgainAtOnce(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a, b, c := f.add(quick), f.add(quick), f.add(quick)
+	f.settled(1)
+	bad, err := newConfigDocument([]byte(`{"version":"r2","routes":7}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes, err := platform.DecodeRoutes(standin.ConfigForServices(2, "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.config.activate(routes, bad, "test", 0)
+	c.config.activate(routes, bad, "test", 0)
+	eventually(t, "the node knows of it", func() bool { return a.configLag.newestKnown() == 2 })
+	eventually(t, "the node has fetched it", func() bool { return a.metrics.configFetchesFailed.Count() > 0 })
+	time.Sleep(time.Second)
+	if sent := b.metrics.configsSent.Count() + c.metrics.configsSent.Count(); sent > 2+3 {
+		t.Errorf("sent %d times", sent)
+	}
+	f.store.Put("config", "main", standin.ConfigForServices(3, "s"))
+	f.settled(3)
+}
