Refuse instead of deny on the product's own interface, too

It now answers 503, not run, with a Retry-After, for up to 5 s after the announcement.

The table 'asks callers to retry what a newer configuration may allow' failed before (404, 405, 421, 413) and passes. Nothing measured.

--- a/node/build.go
+++ b/node/build.go
@@ -178,6 +178,7 @@
 		self:          n.settings.Name,
 		limits:        n.settings.Limits,
 		snapshot:      n.config.snapshot,
+		outdated:      func() bool { return n.config.outdated(time.Now()) },
 		localService:  n.target.service,
 		limiter:       n.limiter,
 		quarantine:    n.quarantine,
--- a/node/config.go
+++ b/node/config.go
@@ -22,6 +22,9 @@
 	// so that the watches of all nodes are spread over this time. It doesn't delay
 	// the change, which gossip distributes much faster.
 	maxWatchDelay = 2 * time.Second
+	// announcementTTL is how long a newer version that a peer announced counts as one
+	// that this node lacks. Most take milliseconds to fetch.
+	announcementTTL = 5 * time.Second
 )
 
 // configuration holds the active configuration and watches the platform for newer
@@ -45,6 +48,10 @@
 	// peerConfirmed is set once a peer has sent a configuration, or has announced
 	// a version that is not newer than the active one.
 	peerConfirmed atomic.Bool
+	// announced is the latest version above the active one that a peer announced, and
+	// announcedAt when, in Unix nanoseconds.
+	announced   atomic.Uint64
+	announcedAt atomic.Int64
 }
 
 func newConfiguration(self string, client *platform.Client, logger log.Logger, watchWait time.Duration) *configuration {
@@ -109,11 +116,21 @@
 // recordPeerVersion records the version that a peer announced. Version 0 confirms
 // nothing, because such a peer may have just started as well.
 func (c *configuration) recordPeerVersion(number uint64) {
-	if number > 0 && number <= c.store.Version() {
+	switch {
+	case number > c.store.Version():
+		c.announced.Store(number)
+		c.announcedAt.Store(time.Now().UnixNano())
+	case number > 0:
 		c.peerConfirmed.Store(true)
 	}
 }
 
+// outdated reports whether a peer has lately announced a newer version than the active
+// one. What the active one does not allow may be allowed by that one.
+func (c *configuration) outdated(now time.Time) bool {
+	return c.announced.Load() > c.store.Version() && now.UnixNano()-c.announcedAt.Load() < int64(announcementTTL)
+}
+
 // run watches the platform and calls onChange after changes until the context
 // ends.
 func (c *configuration) run(ctx context.Context) {
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -16,7 +16,7 @@
 )
 
 // configRetryAfter is the Retry-After of a request at a node that doesn't have
-// the configuration yet.
+// the newest configuration yet.
 const configRetryAfter = time.Second
 
 // ingress serves the requests of callers: it checks and reads them, applies the
@@ -25,6 +25,8 @@
 	self     string
 	limits   Limits
 	snapshot func() *version.Snapshot
+	// outdated reports whether a peer has a newer configuration than this node.
+	outdated func() bool
 	// localService returns the service of the local target, which sends its calls
 	// through this node. Requests of external callers count as its calls too.
 	localService func() version.ServiceID
@@ -105,6 +107,9 @@
 		f := g.refusal(http.StatusServiceUnavailable, "route", "no configuration yet", err)
 		return nil, withRetryAfter(f, configRetryAfter)
 	}
+	if err != nil && g.outdated() {
+		return nil, g.refuseOutdated("route", err)
+	}
 	if err != nil {
 		return nil, g.refusal(routeStatus(w, err), "route", "no route", err)
 	}
@@ -138,6 +143,13 @@
 	return req, nil
 }
 
+// refuseOutdated returns the failure of a request that the active configuration does
+// not allow, although the newer one that a peer has may do so.
+func (g *ingress) refuseOutdated(step string, err error) *request.Failure {
+	f := g.refusal(http.StatusServiceUnavailable, step, "the configuration is outdated", err)
+	return withRetryAfter(f, configRetryAfter)
+}
+
 // routeStatus returns the HTTP status of a routing error. For a method that is
 // not allowed, it sets the Allow header as well.
 func routeStatus(w http.ResponseWriter, err error) int {
@@ -185,6 +197,9 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) && g.outdated() {
+		return nil, g.refuseOutdated("read body", err)
+	}
 	if errors.As(err, &tooLarge) {
 		return nil, g.refusal(http.StatusRequestEntityTooLarge, "read body", "body too large", err)
 	}
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -93,6 +93,7 @@
 		self:          "ingress",
 		limits:        Limits{MaxBodyBytes: 1 << 20, MaxCallerInFlight: 100},
 		snapshot:      current,
+		outdated:      func() bool { return false },
 		localService:  func() version.ServiceID { return "org/team" },
 		limiter:       request.NewLimiter(),
 		quarantine:    quarantine.New(quarantine.DefaultSettings),
--- a/node/unconfigured_test.go
+++ b/node/unconfigured_test.go
@@ -62,6 +62,50 @@
 		Expect(p.runs.Load()).To(BeEquivalentTo(1))
 	})
 
+	// A peer has announced a newer version, which may have the path, the method, the
+	// host or a higher limit. An answer that callers don't repeat must wait for it.
+	DescribeTable("asks callers to retry what a newer configuration may allow",
+		func(method, target, host string, bodyBytes, status int) {
+			for _, outdated := range []bool{false, true} {
+				p := newPath(echo)
+				p.ingress.limits.MaxBodyBytes = 100
+				p.ingress.outdated = func() bool { return outdated }
+				want, retry := status, false
+				if outdated {
+					want, retry = http.StatusServiceUnavailable, true
+				}
+				r, err := http.NewRequest(method, p.caller.URL+target, strings.NewReader(strings.Repeat("x", bodyBytes)))
+				Expect(err).NotTo(HaveOccurred())
+				r.Host = host
+				response, err := http.DefaultClient.Do(r)
+				Expect(err).NotTo(HaveOccurred())
+				_ = response.Body.Close()
+				Expect(response.StatusCode).To(Equal(want))
+				Expect(response.Header.Get("Retry-After") != "").To(Equal(retry))
+				Expect(response.Header.Get(request.HeaderOutcome)).To(Equal(string(request.NotRun)))
+			}
+		},
+		Entry("path", http.MethodGet, "/other/1", "org.example", 0, http.StatusNotFound),
+		Entry("method", http.MethodDelete, "/s/entries", "org.example", 0, http.StatusMethodNotAllowed),
+		Entry("host", http.MethodGet, "/s/peaks", "new.example", 0, http.StatusMisdirectedRequest),
+		Entry("body", http.MethodGet, "/s/peaks", "org.example", 101, http.StatusRequestEntityTooLarge),
+	)
+
+	It("is outdated for a while after a peer announced a newer version", func() {
+		c := newConfiguration("n", nil, nil, time.Second)
+		now := time.Now()
+		Expect(c.outdated(now)).To(BeFalse())
+		c.recordPeerVersion(3)
+		Expect(c.outdated(now)).To(BeTrue())
+		Expect(c.outdated(now.Add(2*announcementTTL))).To(BeFalse(), "nobody announces it any more")
+		document, err := version.Document{Version: 3, OperationID: "op", AcceptedAt: now}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		c.updateFromPeer("peer", document)
+		Expect(c.outdated(now)).To(BeFalse())
+		c.recordPeerVersion(2)
+		Expect(c.outdated(now)).To(BeFalse())
+	})
+
 	It("is not synced by a peer without configuration", func() {
 		c := newConfiguration("n", nil, nil, time.Second)
 		c.recordPeerVersion(0)
