Remember for a while that the configuration is outdated

When the few holders of a new configuration choke on their links, which is what the users' record shows for two seconds, the node forgot it, denied requests for good and stopped to look for the configuration.

It now remembers the newest number for 30 s after it last heard of it. TestOutdatedNodeRemembersWhileHoldersAreSilent; TestOutdatedNodeDoesNotDenyRequests asserted 404 once the peer is silent, which was the fault: it now wants 503 there, and failed before. NewestConfig and its test go: nothing asks the table any more.

--- a/gateway/configlag.go
+++ b/gateway/configlag.go
@@ -5,12 +5,18 @@
 	"time"
 )
 
+// outdatedMemory is how long a node counts as outdated after it last heard of a newer
+// configuration than its own, in case nobody serves that one any more.
+const outdatedMemory = 30 * time.Second
+
 // configLag records since when a node knows of a configuration that is newer than its
 // active one. It is safe for concurrent use.
 type configLag struct {
 	mu sync.Mutex
 	// newest is the highest number that the node has heard of.
 	newest uint64
+	// heardAt is when the node last heard of the newest number.
+	heardAt time.Time
 	// since is when the node first heard of a number above the active one, or zero if
 	// the active configuration is the newest known one.
 	since time.Time
@@ -23,12 +29,22 @@
 func (l *configLag) heard(number, active uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.newest = max(l.newest, number)
+	if number >= l.newest {
+		l.newest, l.heardAt = number, now
+	}
 	if l.newest > active && l.since.IsZero() {
 		l.since = now
 	}
 }
 
+// outdated reports whether the node knows of a newer configuration than the active one.
+// What the active one does not allow may be allowed by that one.
+func (l *configLag) outdated(active uint64, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest > active && now.Sub(l.heardAt) < outdatedMemory
+}
+
 // fetchFailed counts a failed fetch.
 func (l *configLag) fetchFailed() {
 	l.mu.Lock()
--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -79,10 +79,10 @@
 	}
 }
 
-// pullConfig fetches configurations until no peer in reach has a newer one than this
-// node.
+// pullConfig fetches configurations until this node has the newest one that it knows
+// of.
 func (n *Node) pullConfig(ctx context.Context) {
-	for ctx.Err() == nil && n.isOutdated(n.config.snapshot(), time.Now()) {
+	for ctx.Err() == nil && n.configLag.outdated(n.config.snapshot().number(), time.Now()) {
 		if !n.fetchConfig(ctx) {
 			wait.For(ctx, pullRetryInterval/2+rand.N(pullRetryInterval))
 		}
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -64,3 +64,30 @@
 	f.store.Put("config", "main", standin.ConfigForServices(3, "s"))
 	f.settled(3)
 }
+
+// All holders of a newer configuration are silent for a moment, as when their links are
+// full. The node still knows that its own one is outdated.
+func TestOutdatedNodeRemembersWhileHoldersAreSilent(t *testing.T) {
+	var lag configLag
+	start := time.Unix(1000, 0)
+	lag.activated(3, start)
+	if lag.outdated(3, start) {
+		t.Fatal("outdated with the only configuration")
+	}
+	lag.heard(4, 3, start)
+	for _, later := range []time.Duration{0, 2 * unreachableAfter, outdatedMemory - time.Millisecond} {
+		if !lag.outdated(3, start.Add(later)) {
+			t.Fatalf("not outdated %v after it heard of a newer configuration", later)
+		}
+	}
+	if lag.outdated(4, start) {
+		t.Fatal("outdated with the newest configuration")
+	}
+	if lag.outdated(3, start.Add(outdatedMemory)) {
+		t.Fatal("nobody has told of it for so long that it may be gone")
+	}
+	lag.heard(4, 3, start.Add(outdatedMemory))
+	if !lag.outdated(3, start.Add(outdatedMemory+time.Second)) {
+		t.Fatal("not outdated though it was told again")
+	}
+}
--- a/gateway/configspread_test.go
+++ b/gateway/configspread_test.go
@@ -147,10 +147,11 @@
 	if got := a.call(t, http.MethodPost, "/s/1", "long", long); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("a body beyond the limit of the active configuration: status %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
 	}
-	// A peer that is not heard any more is no reason to keep callers waiting.
-	eventually(t, "404 again", func() bool {
-		return a.call(t, http.MethodGet, "/added/1", "alone", "").status == http.StatusNotFound
-	})
+	// The peer falls silent, as when its link is full. The node is still outdated.
+	time.Sleep(2 * unreachableAfter)
+	if got := a.call(t, http.MethodGet, "/added/1", "silent", ""); got.status != http.StatusServiceUnavailable {
+		t.Errorf("outdated, and the peer is silent: status %d", got.status)
+	}
 	if !strings.Contains(a.log.String(), `"newest":2`) {
 		t.Error("the log doesn't tell that the node was outdated")
 	}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -99,7 +99,7 @@
 func (n *Node) noRoute(id string, r *pipeline.Request, config *configSnapshot) *pipeline.Response {
 	now := time.Now()
 	n.events.noRoute(id, r, config, n.configLag.newestKnown(), now)
-	if n.isOutdated(config, now) {
+	if n.configLag.outdated(config.number(), now) {
 		return n.fail(id, outdated("route"))
 	}
 	return n.fail(id, &request.Failure{
@@ -108,12 +108,6 @@
 	})
 }
 
-// isOutdated reports whether a peer in reach has a newer configuration. What the
-// snapshot does not allow may be allowed by that one.
-func (n *Node) isOutdated(config *configSnapshot, now time.Time) bool {
-	return n.fleet.NewestConfig(now) > config.number()
-}
-
 // outdated returns the failure of a request that the active configuration does not
 // allow although a newer one may.
 func outdated(step string) *request.Failure {
@@ -219,7 +213,7 @@
 // limit.
 func (n *Node) reject(status int, reason string) *pipeline.Response {
 	n.events.rejected(status, reason)
-	if exceedsLimit(status) && n.isOutdated(n.config.snapshot(), time.Now()) {
+	if exceedsLimit(status) && n.configLag.outdated(n.config.snapshot().number(), time.Now()) {
 		return n.fail("", outdated("read"))
 	}
 	return n.fail("", &request.Failure{Status: status, Title: reason, Outcome: request.NotRun, Step: "read"})
--- a/process/fleet/configholder.go
+++ b/process/fleet/configholder.go
@@ -67,20 +67,6 @@
 	return holders, outdated
 }
 
-// NewestConfig returns the highest number of a configuration among the peers that were
-// heard recently, or zero if there are none.
-func (t *Table) NewestConfig(now time.Time) uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	newest := uint64(0)
-	for _, p := range t.peers {
-		if t.receivedRecently(p, now) {
-			newest = max(newest, p.Status.ConfigNumber)
-		}
-	}
-	return newest
-}
-
 // AvoidConfigHolder makes ConfigHolder pass over a peer until the given time, because
 // it did not send its configuration.
 func (t *Table) AvoidConfigHolder(node string, until time.Time) {
--- a/process/fleet/configholder_test.go
+++ b/process/fleet/configholder_test.go
@@ -52,30 +52,6 @@
 	}
 }
 
-// A node denies a request by its configuration only if no peer in reach has a newer
-// one. A peer that has been silent since it told of one doesn't count: nobody can
-// fetch it there.
-func TestNewestConfigIgnoresSilentPeers(t *testing.T) {
-	table := newTestTable()
-	if newest := table.NewestConfig(start); newest != 0 {
-		t.Fatalf("%d without peers", newest)
-	}
-	for i, number := range []uint64{7, 6, 5} {
-		s := status(fmt.Sprint("n", i), uint64(i+1), 1)
-		s.ConfigNumber = number
-		table.Merge(s, s.Node, start.Add(time.Duration(i%2)*time.Minute))
-	}
-	if newest := table.NewestConfig(start); newest != 7 {
-		t.Fatalf("newest %d", newest)
-	}
-	if newest := table.NewestConfig(start.Add(time.Minute)); newest != 6 {
-		t.Fatalf("newest %d of the peer that was heard", newest)
-	}
-	if newest := table.NewestConfig(start.Add(2 * time.Minute)); newest != 0 {
-		t.Fatalf("newest %d of silent peers", newest)
-	}
-}
-
 // The first holder of a configuration is busy with other transfers. A node has to ask
 // another one, and may come back to the first only after a while. Requests to the
 // target beside the busy node go on.
@@ -97,9 +73,6 @@
 	if h, ok := table.ConfigHolder(3, "a", 0, start); ok {
 		t.Fatalf("asks %s, which is busy", h.Node)
 	}
-	if newest := table.NewestConfig(start); newest != 4 {
-		t.Fatalf("newest %d though busy holders are in reach", newest)
-	}
 	if !table.Reachable("first", start) {
 		t.Fatal("a busy holder gets no requests")
 	}
