Read the store if the peers don't send a newer configuration

A node that knows to be outdated for 0.7 s after a failed fetch, or for 2.5 s without one, reads the configuration from the store, every two seconds or so. TestNodeThatCanNotFetchReadsTheStore failed before and passes.

--- a/gateway/configlag.go
+++ b/gateway/configlag.go
@@ -45,6 +45,17 @@
 	return l.newest > active && now.Sub(l.heardAt) < outdatedMemory
 }
 
+// lasts returns for how long the node has known of a newer configuration than the
+// active one, and how many fetches failed meanwhile.
+func (l *configLag) lasts(now time.Time) (outdatedFor time.Duration, failures int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.since.IsZero() {
+		return 0, 0
+	}
+	return now.Sub(l.since), l.failures
+}
+
 // fetchFailed counts a failed fetch.
 func (l *configLag) fetchFailed() {
 	l.mu.Lock()
--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -10,6 +10,7 @@
 
 	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/fleet"
+	"verbenatrestle/process/journal"
 )
 
 const (
@@ -28,6 +29,12 @@
 	// undecodableRetryInterval is how long a configuration that could not be decoded is
 	// not fetched again.
 	undecodableRetryInterval = 10 * time.Second
+	// storeReadAfterFailure is how long a node stays outdated before it reads the store
+	// itself if a fetch from a peer has failed, and storeReadAfter if none has, so that
+	// its peers are only busy. storeReadInterval is the mean interval of such reads.
+	storeReadAfterFailure = 700 * time.Millisecond
+	storeReadAfter        = 2500 * time.Millisecond
+	storeReadInterval     = 2 * time.Second
 	// pullRetryInterval is the mean interval at which a node that knows of a newer
 	// configuration checks whether a peer can be asked for it.
 	pullRetryInterval = 40 * time.Millisecond
@@ -50,6 +57,9 @@
 	// and undecodableAt when. Only the pull uses them.
 	undecodable   uint64
 	undecodableAt time.Time
+	// nextStoreRead is the earliest time of the next read of the store. Only the pull
+	// uses it.
+	nextStoreRead time.Time
 }
 
 // start begins a pull, or another one after the pull that runs. It does not block.
@@ -83,12 +93,30 @@
 // of.
 func (n *Node) pullConfig(ctx context.Context) {
 	for ctx.Err() == nil && n.configLag.outdated(n.config.snapshot().number(), time.Now()) {
-		if !n.fetchConfig(ctx) {
+		if !n.fetchConfig(ctx) && !n.readConfigFromStore(ctx) {
 			wait.For(ctx, pullRetryInterval/2+rand.N(pullRetryInterval))
 		}
 	}
 }
 
+// readConfigFromStore reads the configuration from the store if the peers have failed to
+// send a newer one for too long. It reports whether it did.
+func (n *Node) readConfigFromStore(ctx context.Context) bool {
+	now := time.Now()
+	puller := &n.peers.configPuller
+	outdatedFor, failures := n.configLag.lasts(now)
+	due := outdatedFor >= storeReadAfter || failures > 0 && outdatedFor >= storeReadAfterFailure
+	if !due || !n.store.reachable.Load() || now.Before(puller.nextStoreRead) {
+		return false
+	}
+	puller.nextStoreRead = now.Add(storeReadInterval/2 + rand.N(storeReadInterval))
+	if err := n.store.readConfig(ctx); err != nil {
+		n.events.log(journal.Change, "config_read_failed", "dependency", "store", "err", err)
+		return false
+	}
+	return true
+}
+
 // fetchConfig asks one of the peers that have the newest configuration for it. It returns
 // false if no peer can be asked now, or if the fetch failed. The peer is then not asked
 // again for a while.
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -65,6 +65,36 @@
 	f.settled(3)
 }
 
+// A node hears of a configuration by datagrams, but no peer can be connected to. It has
+// to read the configuration from the store, although it is not one of those that watch
+// the store for the fleet.
+func TestNodeThatCanNotFetchReadsTheStore(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	for range 6 {
+		f.add(quick)
+	}
+	f.settled(1)
+	standby := f.nodes[0]
+	eventually(t, "a node is no active watcher", func() bool {
+		for _, n := range f.nodes {
+			if n.store.reachable.Load() && !n.store.watchRole().Active {
+				standby = n
+				return true
+			}
+		}
+		return false
+	})
+	for _, n := range f.nodes {
+		if n != standby {
+			_ = n.listeners[n.settings.Listen.Hop].Close()
+			n.hopServer.Close()
+		}
+	}
+	f.store.Put("config", "main", standin.ConfigForServices(2, "s"))
+	eventually(t, "the node has the configuration", func() bool { return standby.config.snapshot().number() == 2 })
+}
+
 // All holders of a newer configuration are silent for a moment, as when their links are
 // full. The node still knows that its own one is outdated.
 func TestOutdatedNodeRemembersWhileHoldersAreSilent(t *testing.T) {
