Judge a request by the limits at its arrival

They are now taken when its first byte has arrived. TestLimitsOfARequestAreThoseAtItsArrival failed before (431) and passes.

--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -119,12 +119,12 @@
 // is closed when the response to this request is written. If the caller has
 // disconnected, it cancels the context of the connection's handlers.
 func (c *serverConn) readNext(precedingAnswered chan struct{}) (chan struct{}, error) {
-	limits := c.server.Limits()
-	if err := c.awaitFirstByte(limits); err != nil {
+	if err := c.awaitFirstByte(); err != nil {
 		c.cancel()
 		return nil, err
 	}
 	arrivedAt := time.Now()
+	limits := c.server.Limits()
 	c.pending.Add(1)
 	pending := &pendingResponse{written: make(chan struct{}), response: make(chan *Response, 1)}
 	_ = c.conn.SetReadDeadline(arrivedAt.Add(limits.HeaderTimeout)) // the read below fails on a closed connection
@@ -178,10 +178,10 @@
 
 // awaitFirstByte waits for the first byte of the next request. The idle timeout
 // applies only while no request is pending.
-func (c *serverConn) awaitFirstByte(limits Limits) error {
+func (c *serverConn) awaitFirstByte() error {
 	for {
 		if c.pending.Load() == 0 {
-			_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) // the peek below fails on a closed connection
+			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout)) // the peek below fails on a closed connection
 		}
 		c.limitedReader.N = math.MaxInt64
 		_, err := c.reader.Peek(1)
--- a/connection/pipeline/server_test.go
+++ b/connection/pipeline/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,12 @@
 
 // serve starts a server and returns it with its address.
 func serve(t *testing.T, limits Limits, handler Handler) (*Server, string) {
+	t.Helper()
+	return serveWithLimits(t, func() Limits { return limits }, handler)
+}
+
+// serveWithLimits is like serve with limits that may change.
+func serveWithLimits(t *testing.T, limits func() Limits, handler Handler) (*Server, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -23,7 +30,7 @@
 	}
 	s := &Server{
 		Handler: handler,
-		Limits:  func() Limits { return limits },
+		Limits:  limits,
 		Reject: func(status int, reason string) *Response {
 			return &Response{Status: status, Header: http.Header{}, Body: []byte(reason)}
 		},
@@ -230,3 +237,34 @@
 		t.Fatal("the connection stays open")
 	}
 }
+
+// A configuration raises the limits while a caller's connection is idle. The next request
+// on it must be judged by the new limits: one that they allow must not get a 413 or 431.
+func TestLimitsOfARequestAreThoseAtItsArrival(t *testing.T) {
+	var limits atomic.Pointer[Limits]
+	before, after := testLimits, testLimits
+	before.MaxHeaderBytes, before.MaxBodyBytes = 1<<10, 1<<10
+	limits.Store(&before)
+	_, address := serveWithLimits(t, func() Limits { return *limits.Load() }, echo)
+	c, reader := dial(t, address)
+	send := func(name string) int {
+		body := strings.Repeat("x", 4<<10)
+		fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: h\r\nLong: %s\r\nContent-Length: %d\r\n\r\n%s", name, strings.Repeat("y", 4<<10), len(body), body)
+		response, _ := read(t, reader)
+		return response.StatusCode
+	}
+	fmt.Fprintf(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+	if response, _ := read(t, reader); response.StatusCode != http.StatusOK {
+		t.Fatalf("%d", response.StatusCode)
+	}
+	time.Sleep(50 * time.Millisecond) // the server waits for the next request now
+	limits.Store(&after)
+	if status := send("allowed"); status != http.StatusOK {
+		t.Fatalf("a request within the new limits: %d", status)
+	}
+	time.Sleep(50 * time.Millisecond)
+	limits.Store(&before)
+	if status := send("forbidden"); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Fatalf("a request beyond the newest limits: %d", status)
+	}
+}
