Refuse instead of deny by limits without a configuration

Found by the review: a node without a configuration answered 413 and 431 by default limits, which the configuration may raise. It answers 503 like any other request then. TestNoRouteAndNoConfiguration asks with a long header, too (431 before). TestPollFindsChangeThatWatchesMiss waits until the watches run before it mutes them: their first list used to find the change, so the test passed with polls that never read the configuration again.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,6 +50,10 @@
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Fatalf("without a configuration: %d %v", got.status, got.header)
 	}
+	// The configuration may allow more than the limits that hold without one.
+	if got := a.call(t, http.MethodGet, "/s/"+strings.Repeat("y", defaultHeaderBytes), "id", ""); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Fatalf("a long header without a configuration: %d %v", got.status, got.header)
+	}
 	ready, err := http.Get("http://" + a.settings.Listen.Readiness + platform.PathReadiness)
 	if err != nil || ready.StatusCode != http.StatusServiceUnavailable {
 		t.Fatalf("ready without a configuration: %v, %v", ready, err)
@@ -69,6 +73,7 @@
 	f.add(quick)
 	f.add(quick)
 	f.settled(1)
+	eventually(t, "both nodes have listed and watch both kinds", func() bool { return f.store.Watches() >= 4 })
 	f.store.SetFaults(standin.Faults{StallWatches: true})
 	f.store.Put("config", "main", standin.ConfigForServices(2, "s"))
 	f.store.Put("evacuations", "z2", []byte("{}"))
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -213,7 +213,8 @@
 // limit.
 func (n *Node) reject(status int, reason string) *pipeline.Response {
 	n.events.rejected(status, reason)
-	if exceedsLimit(status) && n.configLag.outdated(n.config.snapshot().number(), time.Now()) {
+	config := n.config.snapshot()
+	if exceedsLimit(status) && (config.routes == nil || n.configLag.outdated(config.number(), time.Now())) {
 		return n.fail("", outdated("read"))
 	}
 	return n.fail("", &request.Failure{Status: status, Title: reason, Outcome: request.NotRun, Step: "read"})
