Bound transfers of configurations by what the link carries

Found by the review: a transfer counted as ended when the kernel had taken the text, so 20 receivers that don't read were sent to at once. A transfer now counts at least for the time that 10 Mbit/s need for its bytes. A holder that is busy says so by a reason; any other 503 is a failure. A text that can't be decoded blocks only its holder; its number is passed over once two peers have sent it (one damaged copy kept a node from the sound ones for 10 s).

TestTransferCountsWhileTheLinkCarriesIt and TestDamagedCopyOfOnePeerBlocksNoOther failed before.

--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -14,20 +14,23 @@
 )
 
 const (
-	// configReadTimeout bounds each wait for bytes of a configuration, and
-	// configFetchTimeout the whole transfer, which may take seconds on a slow link.
-	configReadTimeout  = 600 * time.Millisecond
+	// configReadTimeout bounds each wait for bytes of a configuration, which allows for
+	// two lost packets in a row, and configFetchTimeout the whole transfer, which may
+	// take seconds on a slow link.
+	configReadTimeout  = 800 * time.Millisecond
 	configFetchTimeout = 5 * time.Second
 	// configTransferTimeout is how long a transfer counts for
 	// fleet.MaxConfigTransfers.
 	configTransferTimeout = 2 * time.Second
+	// slowLinkBytesPerSecond is the rate of the slowest links of VMs, 10 Mbit/s.
+	slowLinkBytesPerSecond = 10e6 / 8
 	// minHolderBusy and maxHolderBusy bound the random time for which a peer that was
 	// busy with other transfers is not asked again. Most transfers end within that
 	// time, and their receivers can be asked as well.
 	minHolderBusy = 40 * time.Millisecond
 	maxHolderBusy = 160 * time.Millisecond
 	// undecodableRetryInterval is how long a configuration that could not be decoded is
-	// not fetched again.
+	// not fetched again from the same peer, nor from any if two peers sent it.
 	undecodableRetryInterval = 10 * time.Second
 	// storeReadAfterFailure is how long a node stays outdated before it reads the store
 	// itself if a fetch from a peer has failed, and storeReadAfter if none has, so that
@@ -43,6 +46,11 @@
 // errConfigBusy means that a node sends as many configurations as it may.
 var errConfigBusy = errors.New("the node is busy sending configurations")
 
+// transferTime returns how long a slow link needs for a number of bytes.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / slowLinkBytesPerSecond * float64(time.Second))
+}
+
 // configPuller fetches configurations from peers, one at a time.
 type configPuller struct {
 	// pull fetches configurations until no peer in reach has a newer one.
@@ -54,9 +62,11 @@
 	again bool
 
 	// undecodable is the number of the latest configuration that could not be decoded,
-	// and undecodableAt when. Only the pull uses them.
-	undecodable   uint64
-	undecodableAt time.Time
+	// undecodableFrom the peer that sent it first, and undecodableAt when another one
+	// confirmed it. Only the pull uses them.
+	undecodable     uint64
+	undecodableFrom string
+	undecodableAt   time.Time
 	// nextStoreRead is the earliest time of the next read of the store. Only the pull
 	// uses it.
 	nextStoreRead time.Time
@@ -135,13 +145,27 @@
 	}
 	n.metrics.configFetches.Inc(1)
 	if err := n.config.updateDocument(document, holder.Node); err != nil {
-		puller.undecodable, puller.undecodableAt = holder.Number, time.Now()
+		puller.recordUndecodable(holder, time.Now())
 		n.configFetchFailed(holder, started, err)
+		n.fleet.AvoidConfigHolder(holder.Node, time.Now().Add(undecodableRetryInterval))
 		return false
 	}
 	return n.config.snapshot().number() > number
 }
 
+// recordUndecodable records that a configuration of a peer could not be decoded. One
+// peer may have a damaged copy; if a second one has the same, no peer is asked for it for
+// a while.
+func (c *configPuller) recordUndecodable(holder fleet.ConfigHolder, now time.Time) {
+	if c.undecodable != holder.Number {
+		c.undecodable, c.undecodableFrom, c.undecodableAt = holder.Number, holder.Node, time.Time{}
+		return
+	}
+	if c.undecodableFrom != holder.Node {
+		c.undecodableAt = now
+	}
+}
+
 // configFetchFailed records that a peer did not send its configuration.
 func (n *Node) configFetchFailed(holder fleet.ConfigHolder, started time.Time, err error) {
 	now := time.Now()
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -2,11 +2,22 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"verbenatrestle/platform"
 	"verbenatrestle/platform/standin"
+	"verbenatrestle/process/fleet"
+	"verbenatrestle/request"
 )
 
 // A status tells of a newer configuration at the moment at which a pull has found none
@@ -121,3 +132,166 @@
 		t.Fatal("not outdated though it was told again")
 	}
 }
+
+// Many nodes ask one holder at once, and their links are so slow that the kernel's
+// buffers hold a whole text. The holder has to decline all but a few, and serve others
+// when these have ended.
+func TestHolderDeclinesFurtherTransfers(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", largeConfig(1, 1400))
+	f.prepare = func(n *Node) { // only the end of a transfer frees its place
+		n.configTransfers = fleet.NewTransferLimiter(fleet.MaxConfigTransfers, time.Hour)
+	}
+	holder := f.add(quick)
+	f.settled(1)
+	const askers = 20
+	results := make(chan error, askers)
+	for range askers {
+		go func() {
+			client := newHopClient(holder.Node)
+			_, err := client.config(t.Context(), holder.settings.Listen.Hop)
+			results <- err
+		}()
+	}
+	sent, busy := 0, 0
+	for range askers {
+		switch err := <-results; {
+		case err == nil:
+			sent++
+		case errors.Is(err, errConfigBusy):
+			busy++
+		default:
+			t.Errorf("a fetch failed: %v", err)
+		}
+	}
+	if sent == 0 || busy < askers/2 {
+		t.Errorf("%d of %d transfers at once, %d declined", sent, askers, busy)
+	}
+	for i := range 3 * fleet.MaxConfigTransfers {
+		eventually(t, fmt.Sprintf("transfer %d, one after the other", i), func() bool {
+			_, err := holder.hopClient.config(t.Context(), holder.settings.Listen.Hop)
+			return err == nil
+		})
+	}
+}
+
+// fakeHolder answers fetches of a configuration by a function.
+func fakeHolder(t *testing.T, serve func(fetch int, w http.ResponseWriter)) (address string, fetches *atomic.Int32) {
+	t.Helper()
+	fetches = new(atomic.Int32)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(request.HeaderHop) == hopConfig {
+			serve(int(fetches.Add(1)), w)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), fetches
+}
+
+// hearOf makes the node know a peer that has a configuration, by one status.
+func hearOf(f *testFleet, n *testNode, name, hopAddress string, number uint64) {
+	f.t.Helper()
+	status := fleet.Status{Node: name, Incarnation: number<<8 + uint64(len(name)), Sequence: 1, DataCentre: "z1", HopAddress: hopAddress, ConfigNumber: number}
+	n.peers.merge(f.ctx, &status, freeUDPAddress(f.t))
+}
+
+// The only holder is busy at first, and tells of its configuration once only. The node
+// has to ask again.
+func TestPullGoesOnWhileTheHolderIsBusy(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	address, fetches := fakeHolder(t, func(fetch int, w http.ResponseWriter) {
+		if fetch <= 2 {
+			w.Header().Set(headerReason, reasonConfigBusy)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write(standin.ConfigForServices(2, "s"))
+	})
+	hearOf(f, a, "holder", address, 2)
+	eventually(t, "the node has the configuration", func() bool { return a.config.snapshot().number() == 2 })
+	if got := fetches.Load(); got != 3 {
+		t.Errorf("%d fetches", got)
+	}
+	if failed := a.metrics.configFetchesFailed.Count(); failed != 0 {
+		t.Errorf("%d fetches failed: a busy holder is no failure", failed)
+	}
+}
+
+// A holder stops in the middle of the text. The node must not wait for it as long as a
+// transfer may take, and has to ask the other holder.
+func TestStalledHolderIsLeftForAnother(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	document := standin.ConfigForServices(2, "s")
+	release := make(chan struct{})
+	stalled, stalledFetches := fakeHolder(t, func(_ int, w http.ResponseWriter) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(document)))
+		_, _ = w.Write(document[:100])
+		w.(http.Flusher).Flush()
+		<-release
+	})
+	t.Cleanup(func() { close(release) }) // before the server closes, which waits for its handlers
+	began := time.Now()
+	if _, err := a.hopClient.config(t.Context(), stalled); err == nil || time.Since(began) >= configFetchTimeout {
+		t.Fatalf("a stalled transfer ends after %v: %v", time.Since(began), err)
+	}
+	hearOf(f, a, "stalled", stalled, 2)
+	eventually(t, "the stalled holder is asked", func() bool { return stalledFetches.Load() >= 2 })
+	sound, _ := fakeHolder(t, func(_ int, w http.ResponseWriter) { _, _ = w.Write(document) })
+	for sequence := uint64(1); a.config.snapshot().number() != 2; sequence++ {
+		status := fleet.Status{Node: "sound", Incarnation: 5, Sequence: sequence, DataCentre: "z1", HopAddress: sound, ConfigNumber: 2}
+		a.peers.merge(f.ctx, &status, freeUDPAddress(t))
+		if time.Since(began) > 15*time.Second {
+			t.Fatal("the node doesn't get the configuration from the other holder")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// A holder that was busy or failed is not asked again at once.
+func TestHolderIsAvoidedAfterAFetchWithoutResult(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	silent := freeAddress(t)
+	for _, err := range []error{errConfigBusy, errors.New("connection refused")} {
+		now := time.Now()
+		status := fleet.Status{Node: "holder", Incarnation: uint64(now.UnixNano()), Sequence: 1, DataCentre: "z1", HopAddress: silent, ConfigNumber: 2}
+		a.fleet.Merge(status, freeUDPAddress(t), now)
+		a.configFetchFailed(fleet.ConfigHolder{Node: "holder", Number: 2}, now, err)
+		if h, ok := a.fleet.ConfigHolder(1, "z1", 0, now); ok {
+			t.Errorf("%v: %s is asked again", err, h.Node)
+		}
+		if _, ok := a.fleet.ConfigHolder(1, "z1", 0, now.Add(unreachableAfter/2)); !ok && errors.Is(err, errConfigBusy) {
+			t.Errorf("%v: the holder is not asked any more", err)
+		}
+	}
+}
+
+// One peer has a damaged copy of a configuration. The others, which are sound, have to
+// be asked at once.
+func TestDamagedCopyOfOnePeerBlocksNoOther(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	damaged, fetches := fakeHolder(t, func(_ int, w http.ResponseWriter) { _, _ = io.WriteString(w, `{"version":"r2","routes":7}`) })
+	hearOf(f, a, "damaged", damaged, 2)
+	eventually(t, "the damaged copy is fetched", func() bool { return a.metrics.configFetchesFailed.Count() > 0 })
+	sound, _ := fakeHolder(t, func(_ int, w http.ResponseWriter) { _, _ = w.Write(standin.ConfigForServices(2, "s")) })
+	began := time.Now()
+	hearOf(f, a, "sound", sound, 2)
+	eventually(t, "the node has the configuration", func() bool { return a.config.snapshot().number() == 2 })
+	if took := time.Since(began); took >= undecodableRetryInterval {
+		t.Errorf("only after %v", took)
+	}
+	if fetches.Load() != 1 {
+		t.Errorf("the damaged copy was fetched %d times", fetches.Load())
+	}
+}
--- a/gateway/configspread_test.go
+++ b/gateway/configspread_test.go
@@ -20,9 +20,15 @@
 
 	mu     sync.Mutex
 	freeAt time.Time
+	// writing counts the long writes that run, and maxWriting the most at once.
+	writing, maxWriting int
 }
 
-const slowLinkChunk = 1 << 10
+const (
+	slowLinkChunk = 1 << 10
+	// longWrite is the least size of a write that is counted.
+	longWrite = 4 << 10
+)
 
 // Accept implements net.Listener.
 func (l *slowLink) Accept() (net.Conn, error) {
@@ -51,8 +57,27 @@
 	link *slowLink
 }
 
+// count adds to the number of long writes that run.
+func (l *slowLink) count(change int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writing += change
+	l.maxWriting = max(l.maxWriting, l.writing)
+}
+
+// most returns the highest number of long writes that ran at once.
+func (l *slowLink) most() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.maxWriting
+}
+
 // Write implements net.Conn.
 func (c *slowConn) Write(p []byte) (int, error) {
+	if len(p) >= longWrite {
+		c.link.count(1)
+		defer c.link.count(-1)
+	}
 	written := 0
 	for written < len(p) {
 		chunk := p[written:min(len(p), written+slowLinkChunk)]
@@ -77,7 +102,13 @@
 		t.Fatal(err)
 	}
 	f := newTestFleet(t)
-	f.linkBytesPerSecond = float64(len(document)) / transferTime
+	var links []*slowLink
+	f.prepare = func(n *Node) {
+		hop := n.settings().Listen.Hop
+		link := &slowLink{Listener: n.listeners[hop], bytesPerSecond: float64(len(document)) / transferTime}
+		n.listeners[hop] = link
+		links = append(links, link)
+	}
 	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
 	for range nodes {
 		f.add(quick)
@@ -92,6 +123,11 @@
 		sent += n.metrics.configsSent.Count()
 		failed += n.metrics.configFetchesFailed.Count()
 	}
+	for i, link := range links {
+		if most := link.most(); most > fleet.MaxConfigTransfers {
+			t.Errorf("node %d sent the text to %d others at once", i+1, most)
+		}
+	}
 	// At the start each node may have got the first configuration by a transfer.
 	if limit := int64(2 * nodes); sent > limit || failed > 0 {
 		t.Errorf("%d transfers begun and %d failed, want at most %d and none", sent, failed, limit)
@@ -144,6 +180,10 @@
 	}
 	hear()
 	long := strings.Repeat("x", 1<<20+1)
+	header := strings.Repeat("y", defaultHeaderBytes)
+	if got := a.call(t, http.MethodGet, "/s/"+header, "long-header", ""); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("a header beyond the limit of the active configuration: status %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
 	if got := a.call(t, http.MethodPost, "/s/1", "long", long); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("a body beyond the limit of the active configuration: status %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -26,8 +26,8 @@
 	store *standin.Store
 	addr  string
 	nodes []*testNode
-	// linkBytesPerSecond, if set, bounds what a node sends in response to hops.
-	linkBytesPerSecond float64
+	// prepare, if set, is called with each node before it runs.
+	prepare func(*Node)
 }
 
 // testNode is a node with its target and what is needed to restart it.
@@ -153,9 +153,8 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	if f.linkBytesPerSecond > 0 {
-		hop := n.settings.Listen.Hop
-		gw.listeners[hop] = &slowLink{Listener: gw.listeners[hop], bytesPerSecond: f.linkBytesPerSecond}
+	if f.prepare != nil {
+		f.prepare(gw)
 	}
 	n.Node = gw
 	ctx, cancel := context.WithCancel(f.ctx)
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -40,6 +40,10 @@
 // rejected unread.
 const reasonHopRejected = "hop-rejected"
 
+// reasonConfigBusy is the reason of a node that declines to send its configuration
+// because it sends as many as it may.
+const reasonConfigBusy = "config-busy"
+
 // reasonCallerLeft is the reason of an attempt that was cancelled because the
 // caller closed its connection.
 const reasonCallerLeft = "caller-left"
@@ -200,7 +204,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "fetch configuration")
 	}
-	if response.Status == http.StatusServiceUnavailable {
+	if response.Header.Get(headerReason) == reasonConfigBusy {
 		return nil, errConfigBusy
 	}
 	if response.Status != http.StatusOK {
--- a/gateway/hopserver.go
+++ b/gateway/hopserver.go
@@ -41,9 +41,9 @@
 	if config.routes == nil {
 		return &pipeline.Response{Status: http.StatusNotFound, Header: http.Header{}}
 	}
-	transfer, ok := n.configTransfers.Begin(time.Now())
+	transfer, ok := n.configTransfers.Begin(transferTime(len(config.document)), time.Now())
 	if !ok {
-		return &pipeline.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+		return &pipeline.Response{Status: http.StatusServiceUnavailable, Header: http.Header{headerReason: {reasonConfigBusy}}}
 	}
 	response := n.encodeConfig(r, config.document)
 	response.OnWritten = func(error) { n.configTransfers.End(transfer) }
--- a/process/fleet/configspread_test.go
+++ b/process/fleet/configspread_test.go
@@ -128,7 +128,7 @@
 		return
 	}
 	from := f.index[holder.Node]
-	id, ok := l.limiters[from].Begin(f.now)
+	id, ok := l.limiters[from].Begin(0, f.now)
 	if !ok {
 		l.refused++
 		f.tables[i].AvoidConfigHolder(holder.Node, f.now.Add(40*time.Millisecond+time.Duration(f.rng.IntN(120))*time.Millisecond))
--- a/process/fleet/transfers.go
+++ b/process/fleet/transfers.go
@@ -16,30 +16,38 @@
 
 	mu     sync.Mutex
 	lastID uint64
-	begun  map[uint64]time.Time
+	open   map[uint64]transfer
+}
+
+// transfer is the transfer of a configuration that counts.
+type transfer struct {
+	// minEnd is the earliest end, and maxEnd the latest.
+	minEnd, maxEnd time.Time
+	ended          bool
 }
 
 // NewTransferLimiter returns a limiter that allows maxTransfers transfers at once, each
 // of which counts for at most maxDuration.
 func NewTransferLimiter(maxTransfers int, maxDuration time.Duration) *TransferLimiter {
-	return &TransferLimiter{maxTransfers: maxTransfers, maxDuration: maxDuration, begun: make(map[uint64]time.Time)}
+	return &TransferLimiter{maxTransfers: maxTransfers, maxDuration: maxDuration, open: make(map[uint64]transfer)}
 }
 
 // Begin counts a transfer and returns its ID for End, or false if as many as are
-// allowed have begun and not ended.
-func (l *TransferLimiter) Begin(now time.Time) (id uint64, ok bool) {
+// allowed have begun and not ended. The transfer counts at least for minDuration, since
+// a sender is told of its end when the last bytes are still in buffers.
+func (l *TransferLimiter) Begin(minDuration time.Duration, now time.Time) (id uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, at := range l.begun {
-		if now.Sub(at) >= l.maxDuration {
-			delete(l.begun, id)
+	for id, t := range l.open {
+		if t.ended && !now.Before(t.minEnd) || !now.Before(t.maxEnd) {
+			delete(l.open, id)
 		}
 	}
-	if len(l.begun) >= l.maxTransfers {
+	if len(l.open) >= l.maxTransfers {
 		return 0, false
 	}
 	l.lastID++
-	l.begun[l.lastID] = now
+	l.open[l.lastID] = transfer{minEnd: now.Add(minDuration), maxEnd: now.Add(l.maxDuration)}
 	return l.lastID, true
 }
 
@@ -47,5 +55,8 @@
 func (l *TransferLimiter) End(id uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.begun, id)
+	if t, ok := l.open[id]; ok {
+		t.ended = true
+		l.open[id] = t
+	}
 }
