Poll a long configuration by its changes

A poll that finds the revision moved now asks for the changes of the configuration only, and reads it whole at most every five seconds, in case a watch misses one. Calls that may transfer the text have 5 s, since a fixed 1.5 s makes them begin anew on a slow link.

TestPollIsSmallWhileOtherObjectsChange failed before (1,241,277 bytes in 8 polls of a text of 206,747 bytes) and passes.

--- a/gateway/configspread_test.go
+++ b/gateway/configspread_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/platform/standin"
 	"verbenatrestle/process/fleet"
 )
@@ -196,3 +199,31 @@
 		t.Error("the log doesn't tell that the node was outdated")
 	}
 }
+
+// Nodes register and data centres go out of service while the configuration is long and
+// stays as it is. The polls of the store must not transfer its text at each such change.
+func TestPollIsSmallWhileOtherObjectsChange(t *testing.T) {
+	const polls = 8
+	text := largeConfig(1, 1400)
+	f := newTestFleet(t)
+	f.store.Put("config", "main", text)
+	a := f.add(quick)
+	f.settled(1)
+	eventually(t, "the watches run", func() bool { return f.store.Watches() >= 2 })
+	ctx, stop := context.WithCancel(f.ctx)
+	defer stop()
+	go func() {
+		for i := 0; wait.For(ctx, 50*time.Millisecond); i++ {
+			f.store.Put("others", strconv.Itoa(i%5), []byte(strconv.Itoa(i)))
+		}
+	}()
+	lists, bytes := f.store.Lists(), f.store.BytesSent()
+	eventually(t, "further polls", func() bool { return f.store.Lists() >= lists+polls })
+	if sent := f.store.BytesSent() - bytes; sent >= 2*int64(len(text)) {
+		t.Errorf("%d bytes in %d polls, the text has %d", sent, polls, len(text))
+	}
+	// A change is still found by the polls alone.
+	f.store.SetFaults(standin.Faults{StallWatches: true})
+	f.store.Put("config", "main", largeConfig(2, 1400))
+	eventually(t, "the polls find the change", func() bool { return a.config.snapshot().number() == 2 })
+}
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -22,6 +22,15 @@
 	// storeTimeout bounds a call to the store, in addition to the wait of a
 	// watch. A healthy store answers within milliseconds.
 	storeTimeout = 1500 * time.Millisecond
+	// configTextTimeout bounds a call that may transfer the text of the configuration,
+	// which takes about a second on a slow link that carries nothing else.
+	configTextTimeout = 5 * time.Second
+	// briefWatchWait is the wait of a watch that only asks what has changed so far.
+	briefWatchWait = time.Millisecond
+	// configVerifyInterval is the interval at which an active watcher reads the
+	// configuration although a watch reports no change of it, while other objects of
+	// the store change.
+	configVerifyInterval = 5 * time.Second
 	// watchTimeout is the mean time for which the store may hold one watch call
 	// open. Polls find the changes that a watch fails to report.
 	watchTimeout = 25 * time.Second
@@ -92,7 +101,9 @@
 type storeSync struct {
 	node   *Node
 	client *store.Client
-	rng    *rand.Rand
+	// textClient shares everything with client but the timeout.
+	textClient *store.Client
+	rng        *rand.Rand
 	// reachable is what recordCallResult recorded last. It is false before the
 	// first result.
 	reachable atomic.Bool
@@ -102,6 +113,11 @@
 	// configRevision is the latest revision of the store at which the configuration
 	// was read.
 	configRevision atomic.Uint64
+	// watchedRevision is the latest revision up to which a watch has reported the
+	// changes of the configuration, and verifiedAt is when it was last read. Only poll
+	// uses them.
+	watchedRevision uint64
+	verifiedAt      time.Time
 	// listed is closed by firstList after the first list of the nodes, also if it
 	// failed.
 	listed    chan struct{}
@@ -110,25 +126,27 @@
 
 // newStoreSync returns a storeSync. Its run method makes the calls.
 func newStoreSync(n *Node) *storeSync {
+	client := store.New(store.Config{
+		BaseURL:  "http://" + n.settings().Store,
+		Timeout:  storeTimeout,
+		Rate:     storeRate,
+		Burst:    storeBurst,
+		Dialect:  platform.Store{},
+		Registry: n.registry,
+	})
 	return &storeSync{
-		node: n,
-		client: store.New(store.Config{
-			BaseURL:  "http://" + n.settings().Store,
-			Timeout:  storeTimeout,
-			Rate:     storeRate,
-			Burst:    storeBurst,
-			Dialect:  platform.Store{},
-			Registry: n.registry,
-		}),
-		rng:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		listed: make(chan struct{}),
+		node:       n,
+		client:     client,
+		textClient: client.WithTimeout(configTextTimeout),
+		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		listed:     make(chan struct{}),
 	}
 }
 
 // newWatcher returns a watcher of the objects whose keys have the prefix.
-func (s *storeSync) newWatcher(prefix string, handle func(store.Update)) *store.Watcher {
+func (s *storeSync) newWatcher(client *store.Client, prefix string, handle func(store.Update)) *store.Watcher {
 	return &store.Watcher{
-		Client: s.client,
+		Client: client,
 		Prefix: prefix,
 		OnUpdate: func(u store.Update) {
 			s.recordCallResult(nil)
@@ -228,22 +246,53 @@
 	}
 }
 
-// poll lists the data centres out of service. An active watcher then reads the
-// configuration, whose text is long, if the store has changed since it was last read.
-// Other nodes get configurations from their peers.
+// poll lists the data centres out of service. If the store has changed since the
+// configuration was last read, an active watcher then asks for changes of the
+// configuration. Other nodes get configurations from their peers.
 func (s *storeSync) poll(ctx context.Context) error {
 	revision, err := s.listEvacuations(ctx)
 	if err != nil {
 		return err
 	}
-	configured := s.node.config.snapshot().routes != nil
-	if configured && (!s.watchRole().Active || revision == s.configRevision.Load()) {
+	if s.node.config.snapshot().routes == nil {
+		return s.verifyConfig(ctx, revision)
+	}
+	if !s.watchRole().Active || revision == s.configRevision.Load() {
 		return nil
 	}
+	if revision != s.watchedRevision {
+		if err := s.watchConfigBriefly(ctx); errors.Is(err, store.ErrCompacted) {
+			return s.verifyConfig(ctx, revision)
+		} else if err != nil {
+			return err
+		}
+	}
+	if time.Since(s.verifiedAt) < configVerifyInterval {
+		return nil
+	}
+	return s.verifyConfig(ctx, revision)
+}
+
+// watchConfigBriefly applies the changes of the configuration that a watch reports at
+// once. That transfers the text of the configuration only if it has changed.
+func (s *storeSync) watchConfigBriefly(ctx context.Context) error {
+	after := max(s.watchedRevision, s.configRevision.Load())
+	objects, revision, err := s.textClient.Watch(ctx, platform.PrefixConfig, after, briefWatchWait)
+	if err != nil {
+		return err
+	}
+	s.watchedRevision = revision
+	s.applyConfig(store.Update{Objects: objects, Revision: revision})
+	return nil
+}
+
+// verifyConfig reads the configuration, as of a revision of the store or later.
+func (s *storeSync) verifyConfig(ctx context.Context, revision uint64) error {
 	if err := s.readConfig(ctx); err != nil {
 		return err
 	}
 	s.confirmConfig(revision)
+	s.verifiedAt = time.Now()
 	return nil
 }
 
@@ -301,8 +350,8 @@
 		}
 		watchCtx, stop := context.WithCancel(ctx)
 		var group sync.WaitGroup
-		group.Go(func() { s.newWatcher(platform.PrefixConfig, s.applyConfig).Run(watchCtx) })
-		group.Go(func() { s.newWatcher(platform.PrefixEvacuations, s.applyEvacuations).Run(watchCtx) })
+		group.Go(func() { s.newWatcher(s.textClient, platform.PrefixConfig, s.applyConfig).Run(watchCtx) })
+		group.Go(func() { s.newWatcher(s.client, platform.PrefixEvacuations, s.applyEvacuations).Run(watchCtx) })
 		for s.shouldWatch() && wait.For(ctx, roleCheckInterval) {
 		}
 		stop()
@@ -317,7 +366,7 @@
 // readConfig reads the configuration and applies it. A missing configuration
 // is no error.
 func (s *storeSync) readConfig(ctx context.Context) error {
-	object, err := s.client.Get(ctx, platform.KeyConfig)
+	object, err := s.textClient.Get(ctx, platform.KeyConfig)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -64,7 +64,7 @@
 	dialect  Dialect
 	http     *http.Client
 	limiter  *rate.Limiter
-	counters counters
+	counters *counters
 }
 
 // New returns a client. It makes no call.
@@ -94,6 +94,14 @@
 	}
 }
 
+// WithTimeout returns a client with another Config.Timeout, which shares everything else
+// with this one.
+func (c *Client) WithTimeout(timeout time.Duration) *Client {
+	other := *c
+	other.timeout = timeout
+	return &other
+}
+
 // Close closes idle connections. Calls in flight are not interrupted.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- a/process/platform/counters.go
+++ b/process/platform/counters.go
@@ -18,11 +18,11 @@
 	unavailable metrics.Counter
 }
 
-func newCounters(registry metrics.Registry) counters {
+func newCounters(registry metrics.Registry) *counters {
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("platform."+name, registry)
 	}
-	c := counters{
+	c := &counters{
 		bytesRead:   counter("bytes-read"),
 		notFound:    counter("errors.not-found"),
 		conflict:    counter("errors.conflict"),
