Leave the store to others at the start of a large fleet

Found by the review: nodes that start together waited 0.4 s at most for a peer's configuration and then each read the store, although the text takes 1.4 to 1.7 s to spread. In a large fleet a node that knows a peer with a configuration now gets the text there; it reads the store if the peers don't send it (2.5 s, or 0.7 s after a failed fetch). Small fleets read as before. TestStartingNodeOfALargeFleetLeavesTheStoreToOthers failed before and passes.

--- a/gateway/store.go
+++ b/gateway/store.go
@@ -169,7 +169,8 @@
 }
 
 // loadInitial reads the configuration and the data centres out of service,
-// unless they have arrived from a peer meanwhile. Its delays are random, so that
+// unless they have arrived from a peer meanwhile. In a large fleet it is enough that a
+// peer has a configuration, which is then fetched there. Its delays are random, so that
 // of many nodes that start together a few read and the others learn from them.
 func (s *storeSync) loadInitial(ctx context.Context) error {
 	select {
@@ -180,11 +181,14 @@
 	if s.knowsNoOthers() {
 		s.waitUntil(ctx, firstFleetWait, func(c *configSnapshot) bool { return c.routes != nil })
 	}
-	jitter := startJitter
-	if s.node.fleet.KnownNodes() >= largeFleet {
+	jitter, large := startJitter, s.node.fleet.KnownNodes() >= largeFleet
+	if large {
 		jitter = largeStartJitter
 	}
-	if !s.waitForPeers(ctx, startDelay, jitter, func(c *configSnapshot) bool { return c.routes != nil }) {
+	obtainable := func(c *configSnapshot) bool {
+		return c.routes != nil || large && s.node.configLag.outdated(c.number(), time.Now())
+	}
+	if !s.waitForPeers(ctx, startDelay, jitter, obtainable) {
 		if err := s.readConfig(ctx); err != nil {
 			return err
 		}
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -3,9 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"testing"
+	"time"
 
 	"verbenatrestle/platform"
+	"verbenatrestle/platform/standin"
+	"verbenatrestle/process/fleet"
 	store "verbenatrestle/process/platform"
 )
 
@@ -31,3 +35,39 @@
 		t.Fatal("ten listed nodes that have not answered yet are taken for none")
 	}
 }
+
+// All nodes of a large fleet start at once. The store is read by a few; a node that
+// knows a peer with a configuration must get the text there, or all links and the store
+// are busy with it.
+func TestStartingNodeOfALargeFleetLeavesTheStoreToOthers(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		f := newTestFleet(t)
+		f.store.Put("config", "main", standin.ConfigForServices(3, "s"))
+		settings := f.add(quick).settings
+		f.settled(3)
+		settings.Listen = Listen{
+			Callers: freeAddress(t), Hop: freeAddress(t), Readiness: freeAddress(t),
+			Reports: freeAddress(t), Peers: freeUDPAddress(t), Metrics: freeAddress(t),
+		}
+		settings.Name = "starting"
+		n, err := New(settings, io.Discard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.closeListeners)
+		now := time.Now()
+		for i := range largeFleet {
+			n.fleet.AddDiscovered(fleet.Discovered{Node: fmt.Sprint("n-", i), DatagramAddress: fmt.Sprintf("127.0.0.3:%d", 1+i)}, now)
+		}
+		if told {
+			n.configLag.heard(3, 0, now)
+		}
+		close(n.store.listed)
+		if err := n.store.loadInitial(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if read := n.config.snapshot().number() == 3; read == told {
+			t.Errorf("a peer has the configuration: %t, read the store: %t", told, read)
+		}
+	}
+}
