--- a/node/config.go
+++ b/node/config.go
@@ -118,8 +118,10 @@
 func (c *configuration) recordPeerVersion(number uint64) {
 	switch {
 	case number > c.store.Version():
-		c.announced.Store(number)
-		c.announcedAt.Store(time.Now().UnixNano())
+		if number >= c.announced.Load() {
+			c.announced.Store(number)
+			c.announcedAt.Store(time.Now().UnixNano())
+		}
 	case number > 0:
 		c.peerConfirmed.Store(true)
 	}
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -114,6 +114,9 @@
 		return nil, g.refusal(routeStatus(w, err), "route", "no route", err)
 	}
 	key, failure := g.idempotencyKey(route, r.Header)
+	if failure != nil && g.outdated() {
+		return nil, g.refuseOutdated("read key", errors.Errorf("route %s wants the header %s", route.Name, request.HeaderIdempotencyKey))
+	}
 	if failure != nil {
 		return nil, failure
 	}
--- a/node/unconfigured_test.go
+++ b/node/unconfigured_test.go
@@ -88,6 +88,7 @@
 		Entry("path", http.MethodGet, "/other/1", "org.example", 0, http.StatusNotFound),
 		Entry("method", http.MethodDelete, "/s/entries", "org.example", 0, http.StatusMethodNotAllowed),
 		Entry("host", http.MethodGet, "/s/peaks", "new.example", 0, http.StatusMisdirectedRequest),
+		Entry("key", http.MethodPost, "/s/entries", "org.example", 0, http.StatusBadRequest),
 		Entry("body", http.MethodGet, "/s/peaks", "org.example", 101, http.StatusRequestEntityTooLarge),
 	)
 
@@ -97,6 +98,11 @@
 		Expect(c.outdated(now)).To(BeFalse())
 		c.recordPeerVersion(3)
 		Expect(c.outdated(now)).To(BeTrue())
+		c.recordPeerVersion(1)
+		first, err := version.Document{Version: 2, OperationID: "op", AcceptedAt: now}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		c.updateFromPeer("peer", first)
+		Expect(c.outdated(now)).To(BeTrue(), "a lower announcement hides the highest one")
 		Expect(c.outdated(now.Add(2*announcementTTL))).To(BeFalse(), "nobody announces it any more")
 		document, err := version.Document{Version: 3, OperationID: "op", AcceptedAt: now}.Encode()
 		Expect(err).NotTo(HaveOccurred())
