Decode the era of the store and order versions by it

The users' store may come back from an older copy in a drill: what was written since is gone, revisions are given out again, and the header Store-Era rises. Nodes that compare revisions alone ignore what follows until the counter has caught up, and conditional writes may hit a newer object of the same revision.

The era is decoded in platform/ and, for the product's own object API, in its dialect. It drops responses of an earlier era, asks for confirmation of an era that jumps by more than one, ends watches from an earlier era with ErrCompacted, lets a condition on a version of an earlier era never hold, and counts a write during which the era rises as unknown. Without the header versions are revisions, as before.

Nothing measured.

--- a/process/platform/call.go
+++ b/process/platform/call.go
@@ -62,7 +62,11 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { headersWritten.Store(true) },
 	})
-	httpRequest, err := c.newRequest(ctx, request)
+	sent := c.eras.known()
+	if request.Op == OpWatch && VersionEra(request.AfterRevision) != sent {
+		return Result{}, ErrCompacted
+	}
+	httpRequest, err := c.newRequest(ctx, revisionsOf(request, sent))
 	if err != nil {
 		return Result{}, NewCallError(request, false, err)
 	}
@@ -73,7 +77,7 @@
 	defer response.Body.Close()
 	body, err := readBody(response)
 	c.counters.bytesRead.Inc(int64(len(body)))
-	return c.dialect.Decode(request, HTTPResponse{
+	return c.decode(request, sent, HTTPResponse{
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Body:    body,
@@ -81,6 +85,70 @@
 	})
 }
 
+// decode decodes the response to a call that was made when sent was the known era.
+func (c *Client) decode(request Call, sent Era, response HTTPResponse) (Result, error) {
+	told, err := c.dialect.Era(response.Header)
+	c.reportEraError(err)
+	era, before, err := c.eras.observe(told, sent)
+	if err != nil {
+		c.reportEraError(err)
+		return Result{}, NewCallError(request, response.MayHaveRun(), err)
+	}
+	if era > before && c.config.OnEra != nil {
+		c.config.OnEra(before, era)
+	}
+	if request.Op.writes() && era != sent && sent != 0 && response.MayHaveRun() {
+		return Result{}, NewCallError(request, true, errEraRose)
+	}
+	if request.Op == OpWatch && VersionEra(request.AfterRevision) != era {
+		return Result{}, ErrCompacted
+	}
+	result, err := c.dialect.Decode(request, response)
+	return result.inEra(era), conflictInEra(err, era)
+}
+
+// reportEraError reports an error about the era of a response, if there is one.
+func (c *Client) reportEraError(err error) {
+	if err != nil && c.config.OnEraError != nil {
+		c.config.OnEraError(err)
+	}
+}
+
+// inEra returns the result with versions of the era in place of revisions.
+func (r Result) inEra(era Era) Result {
+	for i := range r.Objects {
+		r.Objects[i].Version = NewVersion(era, r.Objects[i].Version)
+	}
+	if r.Version != 0 {
+		r.Version = NewVersion(era, r.Version)
+	}
+	if r.Revision != 0 {
+		r.Revision = NewVersion(era, r.Revision)
+	}
+	return r
+}
+
+// conflictInEra returns the error with a version of the era in place of a revision.
+func conflictInEra(err error, era Era) error {
+	var conflict *ConflictError
+	if errors.As(err, &conflict) && conflict.Version != 0 {
+		conflict.Version = NewVersion(era, conflict.Version)
+	}
+	return err
+}
+
+// revisionsOf returns the call with revisions of the store in place of versions. A
+// condition on a version of an earlier era can't hold any more, although the store may
+// give its revision out again, so it becomes one that never holds.
+func revisionsOf(request Call, era Era) Call {
+	request.AfterRevision = VersionRevision(request.AfterRevision)
+	if request.IfVersion != 0 && VersionEra(request.IfVersion) != era {
+		request.IfVersion = MaxRevision
+	}
+	request.IfVersion = VersionRevision(request.IfVersion)
+	return request
+}
+
 func (c *Client) newRequest(ctx context.Context, request Call) (*http.Request, error) {
 	encoded, err := c.dialect.Encode(request)
 	if err != nil {
--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -29,7 +29,7 @@
 	// Key names the object, such as "ownership/kodumala/entry-filing".
 	Key string `json:"key"`
 	// Version increases with each write of any object, so no two writes get the
-	// same one.
+	// same one. It holds the era and the revision of the store, as NewVersion does.
 	Version uint64 `json:"version"`
 	// Value is the content of the object, at most MaxValueBytes long.
 	Value []byte `json:"value,omitempty"`
@@ -55,6 +55,12 @@
 	// Registry receives the counters platform.calls.* and platform.errors.*. Nil
 	// means that the counters are not exported.
 	Registry metrics.Registry
+	// OnEra, if set, is called after the era of the store has risen. The first era
+	// that the store tells rises from zero. It must not block.
+	OnEra func(before, after Era)
+	// OnEraError, if set, is called with the error of a response whose era can't be
+	// read, is unconfirmed, or is lower than an earlier one. It must not block.
+	OnEraError func(error)
 }
 
 // Client calls the platform's object API. It is safe for concurrent use.
@@ -65,6 +71,8 @@
 	http     *http.Client
 	limiter  *rate.Limiter
 	counters *counters
+	eras     *eraTracker
+	config   Config
 }
 
 // New returns a client. It makes no call.
@@ -91,6 +99,8 @@
 		http:     &http.Client{Transport: newTransport()},
 		limiter:  rate.NewLimiter(rate.Limit(config.Rate), config.Burst),
 		counters: newCounters(config.Registry),
+		eras:     &eraTracker{},
+		config:   config,
 	}
 }
 
@@ -102,6 +112,10 @@
 	return &other
 }
 
+// Era returns the highest era of the store that a response has told, or zero if none
+// has.
+func (c *Client) Era() Era { return c.eras.known() }
+
 // Close closes idle connections. Calls in flight are not interrupted.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
@@ -139,10 +153,13 @@
 		if err != nil {
 			return nil, 0, c.wrap(err, "list objects %s", request.Prefix)
 		}
-		objects = append(objects, result.Objects...)
 		if request.PageToken == "" {
 			revision = result.Revision
 		}
+		if VersionEra(result.Revision) != VersionEra(revision) {
+			return nil, 0, c.wrap(NewCallError(request, false, errEraRose), "list objects %s", request.Prefix)
+		}
+		objects = append(objects, result.Objects...)
 		if result.NextPageToken == "" {
 			return objects, revision, nil
 		}
@@ -151,8 +168,9 @@
 }
 
 // Put writes an object if its current version is ifVersion. Zero means that the
-// object must not exist. It returns the new version. The error wraps a
-// *ConflictError, ErrUnavailable or ErrUnknownOutcome.
+// object must not exist. It returns the new version. A version of an earlier era
+// conflicts with any. If the era rises during the call, the outcome is unknown. The
+// error wraps a *ConflictError, ErrUnavailable or ErrUnknownOutcome.
 func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	request := Call{Op: OpPut, Key: key, Value: value, IfVersion: ifVersion}
 	if len(value) > MaxValueBytes {
@@ -174,7 +192,8 @@
 // revision afterRevision. It returns the current state of the changed objects,
 // including deleted ones, and the revision from which to continue. It returns no
 // objects if nothing has changed. The error wraps ErrUnavailable, or ErrCompacted
-// if the platform no longer stores the changes since afterRevision.
+// if the platform no longer stores the changes since afterRevision, or if that is a
+// revision of an earlier era.
 func (c *Client) Watch(ctx context.Context, prefix string, afterRevision uint64, maxWait time.Duration) ([]Object, uint64, error) {
 	result, err := c.call(ctx, Call{Op: OpWatch, Prefix: prefix, AfterRevision: afterRevision, MaxWait: maxWait})
 	return result.Objects, result.Revision, c.wrap(err, "watch objects %s", prefix)
--- a/process/platform/dialect.go
+++ b/process/platform/dialect.go
@@ -100,8 +100,12 @@
 
 // Dialect translates the calls of one variant of the object API to HTTP. The errors
 // of Decode are ErrNotFound, ErrCompacted, *ConflictError, *RateLimitedError and
-// those that NewCallError returns.
+// those that NewCallError returns. The versions in calls and results are revisions of
+// the store: the client adds and removes the era.
 type Dialect interface {
+	// Era returns the era of the store that a response tells. It is zero if the
+	// response does not tell it. It returns an error if the era can't be read.
+	Era(header http.Header) (Era, error)
 	// Encode returns the HTTP request for a call.
 	Encode(c Call) (HTTPRequest, error)
 	// Decode returns the result of a call from the HTTP response, which may have
@@ -120,6 +124,22 @@
 	return &callError{class: class, cause: cause}
 }
 
+// ParseEra returns the era in a header field, or zero if the field is empty.
+func ParseEra(text string) (Era, error) {
+	if text == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || era == 0 || Era(era) > MaxEra {
+		return 0, errors.Errorf("era %q: want a number from 1 to %d", text, MaxEra)
+	}
+	return Era(era), nil
+}
+
+// HeaderEra is the header in which responses of the product's own object API tell the
+// era of the store.
+const HeaderEra = "Vt-Store-Era"
+
 // nativeDialect is the dialect of the product's own object API.
 type nativeDialect struct{}
 
@@ -144,6 +164,9 @@
 	return HTTPRequest{}, errors.Errorf("encode call: unknown operation %d", c.Op)
 }
 
+// Era implements Dialect.
+func (nativeDialect) Era(header http.Header) (Era, error) { return ParseEra(header.Get(HeaderEra)) }
+
 // preconditionHeader returns the header field that makes a write conditional on
 // the version of the object, or on its absence if version is zero.
 func preconditionHeader(version uint64) http.Header {
