Bound the reads of the store by outdated nodes

About twenty nodes now begin within 40 ms, and nobody while two peers have sent an undecodable text. TestReadsOfTheStoreAreBounded fails without either.

--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -38,6 +38,9 @@
 	storeReadAfterFailure = 700 * time.Millisecond
 	storeReadAfter        = 2500 * time.Millisecond
 	storeReadInterval     = 2 * time.Second
+	// storeReadersAtOnce is how many nodes of a fleet begin such a read within
+	// pullRetryInterval if all of them are outdated.
+	storeReadersAtOnce = 20
 	// pullRetryInterval is the mean interval at which a node that knows of a newer
 	// configuration checks whether a peer can be asked for it.
 	pullRetryInterval = 40 * time.Millisecond
@@ -116,7 +119,10 @@
 	puller := &n.peers.configPuller
 	outdatedFor, failures := n.configLag.lasts(now)
 	due := outdatedFor >= storeReadAfter || failures > 0 && outdatedFor >= storeReadAfterFailure
-	if !due || !n.store.reachable.Load() || now.Before(puller.nextStoreRead) {
+	if !due || !n.store.reachable.Load() || now.Before(puller.nextStoreRead) || puller.isUndecodable(puller.undecodable, now) {
+		return false
+	}
+	if rand.Float64()*float64(n.fleet.NodeCount(now)) >= storeReadersAtOnce {
 		return false
 	}
 	puller.nextStoreRead = now.Add(storeReadInterval/2 + rand.N(storeReadInterval))
@@ -135,7 +141,7 @@
 	started := time.Now()
 	puller := &n.peers.configPuller
 	holder, ok := n.fleet.ConfigHolder(number, n.settings().DataCentre, rand.Float64(), started)
-	if !ok || holder.Number == puller.undecodable && started.Sub(puller.undecodableAt) < undecodableRetryInterval {
+	if !ok || puller.isUndecodable(holder.Number, started) {
 		return false
 	}
 	document, err := n.hopClient.config(ctx, holder.HopAddress)
@@ -166,6 +172,12 @@
 	}
 }
 
+// isUndecodable reports whether two peers have lately sent a configuration with the
+// number that could not be decoded.
+func (c *configPuller) isUndecodable(number uint64, now time.Time) bool {
+	return number == c.undecodable && now.Sub(c.undecodableAt) < undecodableRetryInterval
+}
+
 // configFetchFailed records that a peer did not send its configuration.
 func (n *Node) configFetchFailed(holder fleet.ConfigHolder, started time.Time, err error) {
 	now := time.Now()
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -295,3 +295,57 @@
 		t.Errorf("the damaged copy was fetched %d times", fetches.Load())
 	}
 }
+
+// Peers don't send a newer configuration in time, so the store is read. That must not be
+// done again and again for a text that can't be decoded, nor by all nodes of a large
+// fleet at once.
+func TestReadsOfTheStoreAreBounded(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a := f.add(quick)
+	f.settled(1)
+	newNode := func(known int) *Node {
+		settings := a.settings
+		settings.Name = "outdated"
+		settings.Listen = Listen{
+			Callers: freeAddress(t), Hop: freeAddress(t), Readiness: freeAddress(t),
+			Reports: freeAddress(t), Peers: freeUDPAddress(t), Metrics: freeAddress(t),
+		}
+		n, err := New(settings, io.Discard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.closeListeners)
+		now := time.Now()
+		for i := range known {
+			status := fleet.Status{Node: fmt.Sprint("n-", i), Incarnation: uint64(i + 1), Sequence: 1}
+			n.fleet.Merge(status, fmt.Sprintf("127.0.0.4:%d", 1+i), now)
+			n.fleet.MergeLoad(status.Node, fleet.Load{}, now)
+		}
+		n.configLag.heard(2, 0, now.Add(-2*storeReadAfter))
+		n.store.reachable.Store(true)
+		return n
+	}
+	if n := newNode(0); !n.readConfigFromStore(t.Context()) || n.config.snapshot().number() != 1 {
+		t.Fatal("the store is not read")
+	} else if n.readConfigFromStore(t.Context()) {
+		t.Fatal("the store is read twice at once")
+	}
+	n := newNode(0)
+	n.peers.configPuller.undecodable, n.peers.configPuller.undecodableAt = 2, time.Now()
+	if n.readConfigFromStore(t.Context()) {
+		t.Fatal("the store is read for a text that can't be decoded")
+	}
+	const nodes, tries = 400, 50
+	n = newNode(nodes)
+	reads := 0
+	for range tries {
+		n.peers.configPuller.nextStoreRead = time.Time{}
+		if n.readConfigFromStore(t.Context()) {
+			reads++
+		}
+	}
+	if most := 4 * tries * storeReadersAtOnce / nodes; reads > most {
+		t.Fatalf("%d reads in %d tries of one of %d nodes, want at most %d", reads, tries, nodes, most)
+	}
+}
