Make the test of the store's readers see the bound

The mutant without the bound passed TestReadsOfTheStoreAreBounded, since the node was no longer outdated after its first read. It fails now.

--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -341,6 +341,7 @@
 	reads := 0
 	for range tries {
 		n.peers.configPuller.nextStoreRead = time.Time{}
+		n.configLag.since = time.Now().Add(-2 * storeReadAfter)
 		if n.readConfigFromStore(t.Context()) {
 			reads++
 		}
