--- a/gateway/configlag.go
+++ b/gateway/configlag.go
@@ -45,9 +45,9 @@
 	return l.newest > active && now.Sub(l.heardAt) < outdatedMemory
 }
 
-// lasts returns for how long the node has known of a newer configuration than the
+// elapsed returns for how long the node has known of a newer configuration than the
 // active one, and how many fetches failed meanwhile.
-func (l *configLag) lasts(now time.Time) (outdatedFor time.Duration, failures int) {
+func (l *configLag) elapsed(now time.Time) (outdatedFor time.Duration, failures int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.since.IsZero() {
--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -117,7 +117,7 @@
 func (n *Node) readConfigFromStore(ctx context.Context) bool {
 	now := time.Now()
 	puller := &n.peers.configPuller
-	outdatedFor, failures := n.configLag.lasts(now)
+	outdatedFor, failures := n.configLag.elapsed(now)
 	due := outdatedFor >= storeReadAfter || failures > 0 && outdatedFor >= storeReadAfterFailure
 	if !due || !n.store.reachable.Load() || now.Before(puller.nextStoreRead) || puller.isUndecodable(puller.undecodable, now) {
 		return false
