Log the content of lost requests and configurations known to be newer

On call could not tell that requests under which one target after the other ended were the same one, as each comes with another id, nor whether a node that served by an old configuration knew of a newer one. gate_refused, attempt_lost and failed request lines have the fingerprint of method, host, path and body; request lines have the newest known number while it is above the active one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenatrestle/connection/exchange"
+	"verbenatrestle/connection/pipeline"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
 	"verbenatrestle/request"
@@ -24,6 +25,12 @@
 	objective time.Duration
 }
 
+// fingerprintOf returns the fingerprint of a request: of its method, host, path with
+// query, and body.
+func fingerprintOf(r *pipeline.Request) request.Fingerprint {
+	return request.NewFingerprint(r.Method, r.Host+r.RequestURI, r.Body)
+}
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	// response is the response of the target, or nil if there is none to pass
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -49,8 +49,11 @@
 		"running", d.chosen.Running, "waiting", d.chosen.Waiting, "speed", d.chosen.Slowdown,
 		"load_age_ms", d.chosen.LoadAge.Milliseconds(),
 	}
+	if newest := d.node.configLag.newestKnown(); newest > d.config.number() {
+		pairs = append(pairs, "newest", newest)
+	}
 	if r.response == nil {
-		pairs = append(pairs, "outcome", r.outcome, "reason", r.reason, "retry_after_ms", d.retryAfter.Milliseconds(), "err", errText(r.err))
+		pairs = append(pairs, "fingerprint", d.request.admission.Fingerprint, "outcome", r.outcome, "reason", r.reason, "retry_after_ms", d.retryAfter.Milliseconds(), "err", errText(r.err))
 	}
 	e.journal.Log(class, "request", pairs...)
 }
@@ -92,7 +95,7 @@
 	if reason == gate.RefusedBusy || reason == gate.RefusedSlow {
 		class = journal.Routine // the sender tries another target
 	}
-	e.journal.Log(class, "gate_refused", "request", req.admission.ID, "route", req.admission.Kind, "reason", string(reason),
+	e.journal.Log(class, "gate_refused", "request", req.admission.ID, "fingerprint", req.admission.Fingerprint, "route", req.admission.Kind, "reason", string(reason),
 		"running", load.Running, "waiting", load.Waiting, "speed", load.Slowdown, "open", load.Accepting,
 		"repeat", req.admission.Retry, "retry_after_ms", retryAfter.Milliseconds())
 }
@@ -100,7 +103,7 @@
 // attemptLost logs a request that was sent to the local target and got no
 // response.
 func (e *eventLog) attemptLost(req *targetRequest, instance, kind string, running int, err error) {
-	e.journal.Log(journal.Failure, "attempt_lost", "request", req.admission.ID, "route", req.admission.Kind, "instance", instance,
+	e.journal.Log(journal.Failure, "attempt_lost", "request", req.admission.ID, "fingerprint", req.admission.Fingerprint, "route", req.admission.Kind, "instance", instance,
 		"reason", kind, "running", running, "once", req.admission.NonIdempotent, "err", errText(err))
 }
 
--- a/gateway/hopserver.go
+++ b/gateway/hopserver.go
@@ -80,6 +80,7 @@
 		return encodeResult(id, &bad)
 	}
 	admission.ID = id
+	admission.Fingerprint = fingerprintOf(r)
 	admission.Caller = r.Header.Get(platform.HeaderCaller)
 	admission.Deadline = r.ArrivedAt.Add(remaining)
 	req := &targetRequest{
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -180,6 +180,7 @@
 		objective: objective,
 		admission: gate.Request{
 			ID:            id,
+			Fingerprint:   fingerprintOf(r),
 			Kind:          rule.Name,
 			Caller:        n.settings().Service,
 			Priority:      rule.Priority,
--- a/process/gate/request.go
+++ b/process/gate/request.go
@@ -1,11 +1,18 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"verbenatrestle/request"
+)
 
 // Request describes a request that asks for admission.
 type Request struct {
 	// ID identifies the request.
 	ID string
+	// Fingerprint identifies the content of the request. It is the same if the request
+	// comes again under another ID.
+	Fingerprint request.Fingerprint
 	// Kind groups requests with similar run times.
 	Kind string
 	// Caller is the service whose node first received the request.
