--- /dev/null
+++ b/gateway/crashing_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenatrestle/platform/standin"
+)
+
+const (
+	// crashDowntime is how long a crashed target is away.
+	crashDowntime = 400 * time.Millisecond
+	// crashSettleTime is how long after the third crash a request may still reach
+	// targets, and maxLateCrashes how often it may after that. The users of the
+	// platform set these limits.
+	crashSettleTime = 3 * time.Second
+	maxLateCrashes  = 3
+	// poison is the body of the request that crashes targets.
+	poison = "poison"
+)
+
+// crashingTargets are targets that crash as soon as they run a request whose body is
+// poison. Each comes back under a new instance.
+type crashingTargets struct {
+	f  *testFleet
+	mu sync.Mutex
+	// crashes holds the times of the crashes.
+	crashes []time.Time
+}
+
+// add starts a node and its target.
+func (c *crashingTargets) add(tt testTarget) *testNode {
+	n := c.f.addNode(tt)
+	c.startTarget(n, tt, 1)
+	return n
+}
+
+// startTarget starts the target beside a node. Generation counts its processes.
+func (c *crashingTargets) startTarget(n *testNode, tt testTarget, generation int) {
+	target := standin.NewTarget(standin.TargetOptions{
+		Instance: fmt.Sprintf("i-%s-%d", n.settings.Name, generation), Service: tt.service, DataCentre: "z1", Slots: tt.slots,
+		RunTime: tt.work, ReportAddress: n.settings.Listen.Reports, ReportInterval: 100 * time.Millisecond,
+	})
+	ctx, crash := context.WithCancel(c.f.ctx)
+	var once sync.Once
+	target.Intercept(func(w http.ResponseWriter, r *http.Request) bool {
+		body, err := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		if err != nil || string(body) != poison {
+			return false
+		}
+		once.Do(func() {
+			c.mu.Lock()
+			c.crashes = append(c.crashes, time.Now())
+			c.mu.Unlock()
+			crash()
+			time.AfterFunc(crashDowntime, func() { c.startTarget(n, tt, generation+1) })
+		})
+		panic(http.ErrAbortHandler)
+	})
+	if err := standin.StartServer(ctx, n.settings.Target, target); err != nil {
+		c.f.t.Errorf("start target: %v", err)
+		return
+	}
+	go target.ReportPeriodically(ctx, n.settings.Target)
+}
+
+// crashesBy returns the number of crashes until a time.
+func (c *crashingTargets) crashesBy(until time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, at := range c.crashes {
+		if !at.After(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// A request that crashes each target that runs it, and that comes again and again under
+// new ids at any node, must not go on crashing targets.
+func TestRequestThatCrashesTargetsIsStopped(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
+	targets := &crashingTargets{f: f}
+	for range 4 {
+		targets.add(testTarget{service: "s", slots: 8, work: 20 * time.Millisecond})
+	}
+	f.add(testTarget{service: "u", slots: 8, work: 20 * time.Millisecond})
+	f.settled(1)
+	deadline := time.Now().Add(10 * time.Second)
+	settledAt := deadline
+	for i := 0; time.Now().Before(deadline); i++ {
+		node := f.nodes[i%len(f.nodes)]
+		node.call(t, http.MethodPost, "/s/bad", fmt.Sprint("bad-", i), poison)
+		node.call(t, http.MethodPost, "/s/good", fmt.Sprint("good-", i), fmt.Sprint("good-", i))
+		if settledAt == deadline && targets.crashesBy(time.Now()) >= 3 {
+			settledAt = time.Now().Add(crashSettleTime)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if late := targets.crashesBy(deadline) - targets.crashesBy(settledAt); late > maxLateCrashes {
+		t.Errorf("the request crashed %d more targets from %v after the third crash on, want at most %d", late, crashSettleTime, maxLateCrashes)
+	}
+}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -120,6 +120,21 @@
 
 // add starts a node and its target.
 func (f *testFleet) add(tt testTarget) *testNode {
+	f.t.Helper()
+	n := f.addNode(tt)
+	n.target = standin.NewTarget(standin.TargetOptions{
+		Instance: "i-" + n.settings.Name, Service: tt.service, DataCentre: "z1", Slots: tt.slots, RunTime: tt.work,
+		ReportAddress: n.settings.Listen.Reports, ReportInterval: 100 * time.Millisecond,
+	})
+	if err := standin.StartServer(f.ctx, n.settings.Target, n.target); err != nil {
+		f.t.Fatal(err)
+	}
+	go n.target.ReportPeriodically(f.ctx, n.settings.Target)
+	return n
+}
+
+// addNode starts a node without its target.
+func (f *testFleet) addNode(tt testTarget) *testNode {
 	f.t.Helper()
 	name := fmt.Sprintf("n%d", len(f.nodes)+1)
 	settings := Settings{
@@ -132,15 +147,7 @@
 		Limits: Limits{RepeatRatio: 0.2, RepeatSlack: 60, RepeatWindowSeconds: 10, ColdFactor: 1.5, StopSeconds: 3},
 	}
 	n := &testNode{settings: settings, log: &lockedBuffer{}, ended: make(chan struct{})}
-	n.target = standin.NewTarget(standin.TargetOptions{
-		Instance: "i-" + name, Service: tt.service, DataCentre: "z1", Slots: tt.slots, RunTime: tt.work,
-		ReportAddress: settings.Listen.Reports, ReportInterval: 100 * time.Millisecond,
-	})
-	if err := standin.StartServer(f.ctx, settings.Target, n.target); err != nil {
-		f.t.Fatal(err)
-	}
 	f.start(n)
-	go n.target.ReportPeriodically(f.ctx, settings.Target)
 	f.nodes = append(f.nodes, n)
 	return n
 }
