Quarantine requests that crash targets in the gateway, too

Cause: only the product's own interface used request/quarantine; nothing in the gateway remembered under which requests a target had ended, so each new id of such a request was routed as any other. Change: the gate tracks what is in flight; when nothing listens at its target's address any more, or another process reports, it records a crash with these requests, unless the end was planned. Suspects run one at a time at a target and are not sent again in the same attempt after their second broken connection; a request in flight at two crashes, alone among suspects, is refused by all ingresses and gates: 503, not run, Retry-After until the quarantine ends. It is no 4xx, since a request may be in flight at two crashes by chance. Ruled out: retries above maxAttempts, and nested calls (the failing test has neither).

--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -10,7 +10,11 @@
 	"testing"
 	"time"
 
+	"verbenatrestle/platform"
 	"verbenatrestle/platform/standin"
+	"verbenatrestle/process/gate"
+	"verbenatrestle/request"
+	"verbenatrestle/request/quarantine"
 )
 
 const (
@@ -100,7 +104,10 @@
 	for i := 0; time.Now().Before(deadline); i++ {
 		node := f.nodes[i%len(f.nodes)]
 		node.call(t, http.MethodPost, "/s/bad", fmt.Sprint("bad-", i), poison)
-		node.call(t, http.MethodPost, "/s/good", fmt.Sprint("good-", i), fmt.Sprint("good-", i))
+		good := fmt.Sprint("good-", i)
+		if got := node.call(t, http.MethodPost, "/s/good", good, good); strings.Contains(got.body, "quarantined") {
+			t.Errorf("%s is quarantined", good)
+		}
 		if settledAt == deadline && targets.crashesBy(time.Now()) >= 3 {
 			settledAt = time.Now().Add(crashSettleTime)
 		}
@@ -110,3 +117,39 @@
 		t.Errorf("the request crashed %d more targets from %v after the third crash on, want at most %d", late, crashSettleTime, maxLateCrashes)
 	}
 }
+
+// crashRecord returns the record of a crash under a request.
+func crashRecord(instance string, f request.Fingerprint) *gate.Crash {
+	return &gate.Crash{Instance: instance, StartedMillis: 1, InFlight: []quarantine.InFlightRequest{{Fingerprint: f}}}
+}
+
+// A node that starts must not send a quarantined request to targets, although it has
+// seen no crash.
+func TestQuarantineReachesNodesThatStart(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a := f.add(quick)
+	f.add(quick)
+	f.settled(1)
+	content := request.NewFingerprint(http.MethodPost, "h/s/bad", []byte(poison))
+	a.crashes.recordCrash(crashRecord("i-1", content))
+	a.crashes.recordCrash(crashRecord("i-2", content))
+	late := f.add(quick)
+	f.settled(1)
+	for _, n := range f.nodes {
+		eventually(t, n.settings.Name+" knows the quarantine", func() bool {
+			verdict, _ := n.crashes.table.Check(content, time.Now())
+			return verdict == quarantine.Quarantined
+		})
+	}
+	got := late.call(t, http.MethodPost, "/s/bad", "bad", poison)
+	retryAfter, err := platform.ParseSeconds(got.header.Get("Retry-After"))
+	if got.status != http.StatusServiceUnavailable || err != nil || retryAfter < time.Minute {
+		t.Errorf("status %d with Retry-After %v, want 503 until the quarantine ends", got.status, retryAfter)
+	}
+	for _, n := range f.nodes {
+		if len(n.target.Runs()) > 0 {
+			t.Errorf("the target beside %s ran the request", n.settings.Name)
+		}
+	}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"verbenatrestle/connection/exchange"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
 	"verbenatrestle/request"
@@ -26,6 +27,9 @@
 	// at which a target declines the request if it can't start it at once. At
 	// later attempts the request may be queued.
 	declinableAttempts = 2
+	// maxBrokenConnections is the number of connections to targets that may break under
+	// a request before it is not sent again: the targets may have crashed because of it.
+	maxBrokenConnections = 2
 	// noTargetRetryAfter is the Retry-After if no target can be reached. A peer
 	// that was unreachable is usually reachable again after about that time.
 	noTargetRetryAfter = 400 * time.Millisecond
@@ -46,6 +50,9 @@
 	sends int
 	// mayHaveRun is set once the request may have run at a target.
 	mayHaveRun bool
+	// brokenConnections counts the connections to targets that broke under the request,
+	// and one more if it is a suspect.
+	brokenConnections int
 	// attempts counts all attempts.
 	attempts int
 	// chosen is the target of the last attempt with its load at that time.
@@ -126,6 +133,7 @@
 	req := *d.request
 	req.admission.Retry = d.sends > 0
 	req.admission.MayHaveRun = d.mayHaveRun
+	req.admission.Suspect = d.brokenConnections > 0
 	r := d.node.attempt(ctx, to, &req)
 	if r.declined() {
 		d.declined = append(d.declined, to.Node)
@@ -135,6 +143,9 @@
 	if r.arrived {
 		d.sends++
 	}
+	if r.reason == string(exchange.KindBroken) {
+		d.brokenConnections++
+	}
 	d.mayHaveRun = d.mayHaveRun || r.response != nil || r.outcome != request.NotRun
 	if r.retryAfter > 0 && (d.retryAfter == 0 || r.retryAfter < d.retryAfter) {
 		d.retryAfter = r.retryAfter
@@ -165,6 +176,9 @@
 	if r.response != nil && !r.isTargetError() || r.reason == string(gate.RefusedRetryBudget) {
 		return false
 	}
+	if d.brokenConnections >= maxBrokenConnections || r.reason == string(gate.RefusedQuarantined) {
+		return false
+	}
 	ran := r.response != nil || r.outcome != request.NotRun
 	if ran && !d.rule.Idempotent {
 		return false
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -8,6 +8,8 @@
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
 	"verbenatrestle/process/journal"
+	"verbenatrestle/request"
+	"verbenatrestle/request/quarantine"
 )
 
 // logRates bound the log, in lines per second. A node handles about twenty
@@ -151,6 +153,33 @@
 	e.journal.Log(journal.Change, "target_down", "instance", instance, "err", errText(err))
 }
 
+// targetCrashed logs and counts a crash of the local target, with the first
+// maxLoggedInFlight requests in flight and those that are quarantined since.
+func (e *eventLog) targetCrashed(crash *gate.Crash, table *quarantine.Table) {
+	e.metrics.targetCrashes.Inc(1)
+	var inFlight, quarantined []string
+	for _, r := range crash.InFlight {
+		if verdict, _ := table.Check(r.Fingerprint, time.Now()); verdict == quarantine.Quarantined {
+			quarantined = append(quarantined, r.Fingerprint.String())
+		}
+		if len(inFlight) < maxLoggedInFlight {
+			inFlight = append(inFlight, r.Fingerprint.String())
+		}
+	}
+	e.journal.Log(journal.Change, "target_crashed", "instance", crash.Instance, "born", crash.StartedMillis,
+		"in_flight", len(crash.InFlight), "fingerprints", inFlight, "quarantined", quarantined)
+}
+
+// maxLoggedInFlight bounds the fingerprints in a line about a crash.
+const maxLoggedInFlight = 32
+
+// requestQuarantined logs and counts a request that is refused because targets crashed
+// under it.
+func (e *eventLog) requestQuarantined(id string, f request.Fingerprint, remaining time.Duration) {
+	e.metrics.quarantined.Inc(1)
+	e.journal.Log(journal.Failure, "request_quarantined", "request", id, "fingerprint", f, "retry_after_ms", remaining.Milliseconds())
+}
+
 // targetChecked logs a health check that changed the state of the local
 // target.
 func (e *eventLog) targetChecked(s gate.State) {
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -145,6 +145,9 @@
 	message.Header.Set(headerOrder, encodeAdmission(req, now))
 	message.Header.Set(platform.HeaderTimeout, strconv.FormatInt(req.admission.Deadline.Sub(now).Milliseconds(), 10))
 	message.Header.Set(platform.HeaderCaller, req.admission.Caller)
+	if req.admission.Suspect {
+		message.Header.Set(request.HeaderSuspect, strconv.FormatBool(true))
+	}
 	ctx, cancel := context.WithDeadline(ctx, req.admission.Deadline.Add(hopGrace))
 	defer cancel()
 	response, err := h.do(ctx, to.HopAddress, &message)
--- a/gateway/hopserver.go
+++ b/gateway/hopserver.go
@@ -81,6 +81,7 @@
 	}
 	admission.ID = id
 	admission.Fingerprint = fingerprintOf(r)
+	admission.Suspect = r.Header.Get(request.HeaderSuspect) != ""
 	admission.Caller = r.Header.Get(platform.HeaderCaller)
 	admission.Deadline = r.ArrivedAt.Add(remaining)
 	req := &targetRequest{
@@ -88,7 +89,7 @@
 		service:   r.Header.Get(request.HeaderService),
 		admission: admission,
 	}
-	for _, name := range []string{request.HeaderHop, request.HeaderService, headerOrder} {
+	for _, name := range []string{request.HeaderHop, request.HeaderService, request.HeaderSuspect, headerOrder} {
 		req.message.Header.Del(name)
 	}
 	res := n.localTarget.run(ctx, req)
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -81,11 +81,19 @@
 	if rule == nil {
 		return n.noRoute(id, r, config)
 	}
+	fingerprint := fingerprintOf(r)
+	if failure := n.crashes.quarantined(id, fingerprint); failure != nil {
+		return n.fail(id, failure)
+	}
 	if !rule.Idempotent && !awaitPreceding(ctx, r.PrecedingAnswered) {
 		return n.fail(id, callerLeft())
 	}
 	req := n.newTargetRequest(id, r, rule)
+	req.admission.Fingerprint = fingerprint
 	d := &dispatch{node: n, request: req, rule: rule, config: config, started: r.ArrivedAt}
+	if n.crashes.isSuspect(fingerprint) {
+		d.brokenConnections = 1
+	}
 	res := d.run(ctx)
 	n.events.requestEnded(d, &res, time.Now())
 	if res.response != nil {
@@ -117,6 +125,16 @@
 	}
 }
 
+// quarantinedFailure returns the failure of a quarantined request. Its status is not
+// 4xx, since a request that is in flight at two crashes by chance is quarantined too.
+func quarantinedFailure(remaining time.Duration) *request.Failure {
+	return &request.Failure{
+		Status: http.StatusServiceUnavailable, Title: "request is quarantined",
+		Detail:  "targets crashed while they ran this request",
+		Outcome: request.NotRun, Step: string(gate.RefusedQuarantined), RetryAfter: remaining,
+	}
+}
+
 // awaitPreceding waits until the earlier requests on the connection are answered.
 // It returns false if the context ends first. A non-idempotent request has to
 // wait, since it must not have run if an earlier response closes the connection.
@@ -140,7 +158,7 @@
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-	request.HeaderHop, request.HeaderService, request.HeaderLoad, request.HeaderOutcome, headerOrder, headerReason,
+	request.HeaderHop, request.HeaderService, request.HeaderLoad, request.HeaderOutcome, request.HeaderSuspect, headerOrder, headerReason,
 }
 
 // removeHopByHop removes the hop-by-hop headers and the headers that the
@@ -180,7 +198,6 @@
 		objective: objective,
 		admission: gate.Request{
 			ID:            id,
-			Fingerprint:   fingerprintOf(r),
 			Kind:          rule.Name,
 			Caller:        n.settings().Service,
 			Priority:      rule.Priority,
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -81,7 +81,11 @@
 // request to the target.
 func (t *localTarget) run(ctx context.Context, req *targetRequest) attemptResult {
 	now := time.Now()
-	if reason, retryAfter := t.admit(ctx, req, now); reason != "" {
+	reason, retryAfter := t.node.crashes.admit(req)
+	if reason == "" {
+		reason, retryAfter = t.admit(ctx, req, now)
+	}
+	if reason != "" {
 		r := refusedResult(string(reason), retryAfter)
 		if reason.MayHaveRun() {
 			r.outcome = request.Unknown
@@ -196,12 +200,13 @@
 	if notRun {
 		if response.Status == http.StatusMisdirectedRequest {
 			t.releaseUnsent(req)
-			t.markDown(state.Instance, errors.New("another target instance answers at the address"))
+			t.markDown(state.Instance, errOtherInstance)
 		} else {
 			t.releaseShed(req)
 		}
 		return attemptResult{outcome: request.NotRun, reason: "target-refused", arrived: true, retryAfter: targetRefusedRetryAfter}
 	}
+	t.node.crashes.recordCompletion(&req.admission)
 	success := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
 	t.recordRun(req, state, took, !success)
 	if success && response.Header.Get(platform.HeaderSignature) == "" {
@@ -213,6 +218,9 @@
 	return attemptResult{response: response, arrived: true}
 }
 
+// errOtherInstance means that another process of the target runs at its address.
+var errOtherInstance = errors.New("another target instance answers at the address")
+
 // targetRefusedRetryAfter is the Retry-After of a request that the target
 // itself refused. A request runs for about that long.
 const targetRefusedRetryAfter = 200 * time.Millisecond
@@ -246,10 +254,12 @@
 	before := t.gate.State(now)
 	accepted := t.gate.ApplyReport(report, now)
 	after := t.gate.State(now)
+	crash := t.gate.TakeCrash()
 	if accepted && (t.pool == nil || t.pool.Address() != report.Address || before.Instance != after.Instance) {
 		t.replacePool(report.Address)
 	}
 	t.mu.Unlock()
+	t.node.crashes.recordCrash(crash)
 	if !accepted {
 		t.node.events.reportIgnored(report, "older than what is known")
 		return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
+	"verbenatrestle/request/quarantine"
 )
 
 const (
@@ -32,6 +33,9 @@
 	datagramsFailed   metrics.Counter
 	targetConnections metrics.Counter
 	healthChecks      metrics.Counter
+	targetCrashes     metrics.Counter
+	quarantined       metrics.Counter
+	crashRecordsSent  metrics.Counter
 	// configOutdated is the time for which the node knew of a newer configuration
 	// before it activated one.
 	configOutdated      metrics.Timer
@@ -59,6 +63,9 @@
 		datagramsFailed:   counter("peers.datagrams-failed"),
 		targetConnections: counter("target.connections-opened"),
 		healthChecks:      counter("target.health-checks"),
+		targetCrashes:     counter("target.crashes"),
+		quarantined:       counter("requests.quarantined"),
+		crashRecordsSent:  counter("peers.crash-records-sent"),
 
 		configOutdated:      newTimer(),
 		configFetches:       counter("config.fetches"),
@@ -94,11 +101,14 @@
 // datagramSent counts a message to a peer and its size in bytes.
 func (m *nodeMetrics) datagramSent(message any, size int) {
 	m.datagramBytes.Inc(int64(size))
-	if _, ok := message.(*fleet.Heartbeat); ok {
+	switch message.(type) {
+	case *fleet.Heartbeat:
 		m.heartbeatsSent.Inc(1)
-		return
+	case *quarantine.Message:
+		m.crashRecordsSent.Inc(1)
+	default:
+		m.statusesSent.Inc(1)
 	}
-	m.statusesSent.Inc(1)
 }
 
 // configSent counts a configuration that was sent to a peer, and its size in bytes.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -54,6 +54,7 @@
 	fleet           *fleet.Table
 	peers           *statusExchange
 	hopClient       *hopClient
+	crashes         *crashExchange
 	store           *storeSync
 	trafficSplitter *trafficSplitter
 	events          *eventLog
@@ -97,6 +98,7 @@
 	n.health = newHealthChecker(n)
 	n.peers = newStatusExchange(n, rand.Uint64())
 	n.hopClient = newHopClient(n)
+	n.crashes = newCrashExchange(n)
 	n.store = newStoreSync(n)
 	n.readiness = &readiness{node: n}
 	n.callerServer = &pipeline.Server{Handler: n.ingress, Limits: n.callerLimits, Reject: n.reject, Logger: log.NewNopLogger()}
@@ -176,6 +178,7 @@
 	go n.serveRequests(n.hopServer, n.listeners[l.Hop])
 	go n.peers.receive(runCtx)
 	go n.peers.send(runCtx)
+	go n.crashes.run(runCtx)
 	go n.store.run(runCtx)
 	go n.health.run(runCtx)
 	go n.tick(runCtx)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -14,6 +14,7 @@
 	"verbenatrestle/connection/wire"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/journal"
+	"verbenatrestle/request/quarantine"
 )
 
 // Wire kinds of a fleet.Status and a fleet.Heartbeat.
@@ -67,6 +68,7 @@
 	codec := wire.NewCodec()
 	codec.Register(kindStatus, &fleet.Status{})
 	codec.Register(kindHeartbeat, &fleet.Heartbeat{})
+	codec.Register(kindCrashRecords, &quarantine.Message{})
 	return &statusExchange{
 		node:               n,
 		codec:              codec,
@@ -244,6 +246,8 @@
 			}
 		case *fleet.Heartbeat:
 			p.node.fleet.MergeHeartbeat(*m, time.Now())
+		case *quarantine.Message:
+			p.node.crashes.merge(*m)
 		}
 	}
 }
@@ -258,6 +262,7 @@
 	if newIncarnation {
 		p.node.events.log(journal.Change, "peer_started", "peer", status.Node, "incarnation", status.Incarnation, "instance", status.Instance)
 		p.reply(status.Node)
+		p.node.crashes.welcome(from)
 	}
 	config := p.node.config.snapshot()
 	if status.OutRevision > config.dataCentresOutRevision {
--- a/gateway/target_failure.go
+++ b/gateway/target_failure.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"verbenatrestle/connection/exchange"
 	"verbenatrestle/process/gate"
 	"verbenatrestle/request"
@@ -62,7 +64,12 @@
 	if changed {
 		t.gate.MarkDown(time.Now())
 	}
+	if state.Instance == instance && (connectionRefused(err) || errors.Is(err, errOtherInstance)) {
+		t.gate.ProcessEnded(time.Now())
+	}
+	crash := t.gate.TakeCrash()
 	t.mu.Unlock()
+	t.node.crashes.recordCrash(crash)
 	if changed {
 		t.announceDown(instance, err)
 	}
--- a/process/gate/capacity.go
+++ b/process/gate/capacity.go
@@ -52,6 +52,9 @@
 // hasCapacity reports whether the request may start now, regardless of the
 // queue.
 func (g *Gate) hasCapacity(req Request, now time.Time) bool {
+	if g.held(&req, now) {
+		return false
+	}
 	limit := g.Limit()
 	if !req.nested {
 		limit = max(1, limit-g.nestedReserve(now))
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -76,6 +76,7 @@
 	// which case its limit is lowered.
 	saturation saturationDetector
 	failures   failureTracker
+	crashes    crashTracker
 	// nestedAt is when the latest nested call came.
 	nestedAt time.Time
 }
@@ -95,6 +96,7 @@
 		seen:           newSeenRequests(settings.DedupWindow),
 		callerCounts:   make(callerCounts),
 		saturation:     newSaturationDetector(),
+		crashes:        newCrashTracker(),
 		deregistered:   make(map[string]int64),
 	}
 }
@@ -125,7 +127,7 @@
 	if req.nested {
 		g.nestedAt = now
 	}
-	starts := len(g.queue) == 0 && g.hasCapacity(req, now)
+	starts := g.allHeld(now) && g.hasCapacity(req, now)
 	switch {
 	case req.HasAlternatives && g.slowdown >= slowThreshold:
 		return Decision{Refused: RefusedSlow}
@@ -187,6 +189,7 @@
 // recordStart counts a request that is sent to the target.
 func (g *Gate) recordStart(req Request, now time.Time) {
 	g.running++
+	g.crashes.begin(&req)
 	g.arrivals.add(now)
 	if req.Retry {
 		g.runningRetries++
@@ -202,8 +205,11 @@
 }
 
 // Done ends a request that reached the target and was answered or failed there.
-// Took is its run time, which is ignored if the request failed.
+// Took is the time until the answer, or zero if there was none.
 func (g *Gate) Done(req Request, took time.Duration, failed bool, now time.Time) {
+	if took > 0 {
+		g.crashes.answered(now.Add(-took))
+	}
 	if !failed {
 		g.recordRunTime(req.Kind, took)
 	}
@@ -236,6 +242,7 @@
 func (g *Gate) ConnectionLost(req Request, now time.Time) bool {
 	g.failures.observe(true, now)
 	g.release(req)
+	g.crashes.broke(&req, now)
 	g.arrived(req, now)
 	if g.failures.connectionBroke() && !g.down {
 		g.MarkDown(now)
@@ -271,6 +278,7 @@
 // release frees the slot of a request.
 func (g *Gate) release(req Request) {
 	g.running = max(0, g.running-1)
+	g.crashes.end(&req)
 	if req.Retry {
 		g.runningRetries = max(0, g.runningRetries-1)
 	}
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -52,7 +52,7 @@
 	limit := max(1, int(float64(g.target.Slots)*g.settings.QueueShare))
 	for i := len(g.queue) - 1; i >= 0; i-- {
 		waiter := g.queue[i]
-		start := now.Add(g.estimateWait(i, now))
+		start := now.Add(g.estimateWait(i, now) + g.suspectWait(i))
 		needed := time.Duration(queueMargin * float64(g.expectedRunTime(waiter.Request.Kind)))
 		if i < limit && !start.Add(needed).After(waiter.Request.latestUseful()) {
 			continue
@@ -121,9 +121,9 @@
 		g.refuseAll(refused, after)
 		return
 	}
-	for len(g.queue) > 0 && g.hasCapacity(g.queue[0].Request, now) {
-		waiter := g.queue[0]
-		g.queue = slices.Delete(g.queue, 0, 1)
+	for next := g.nextToStart(now); next >= 0; next = g.nextToStart(now) {
+		waiter := g.queue[next]
+		g.queue = slices.Delete(g.queue, next, next+1)
 		if !waiter.Request.Deadline.After(now) {
 			g.refuse(waiter, RefusedLate, minRetryAfter)
 			continue
@@ -134,6 +134,46 @@
 	g.refuseTooLate(now)
 }
 
+// nextToStart returns the index of the first waiter if it may start, or -1. Suspects that
+// are held are passed over.
+func (g *Gate) nextToStart(now time.Time) int {
+	for i, waiter := range g.queue {
+		if g.held(&waiter.Request, now) {
+			continue
+		}
+		if g.hasCapacity(waiter.Request, now) {
+			return i
+		}
+		return -1
+	}
+	return -1
+}
+
+// allHeld reports whether only suspects wait that are held, or nobody does.
+func (g *Gate) allHeld(now time.Time) bool {
+	for _, waiter := range g.queue {
+		if !g.held(&waiter.Request, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// suspectWait estimates how long the waiter at an index has to wait for other suspects,
+// or returns zero if it is none.
+func (g *Gate) suspectWait(at int) time.Duration {
+	if !g.queue[at].Request.Suspect {
+		return 0
+	}
+	ahead := g.crashes.suspects
+	for _, waiter := range g.queue[:at] {
+		if waiter.Request.Suspect {
+			ahead++
+		}
+	}
+	return time.Duration(ahead) * g.expectedRunTime(g.queue[at].Request.Kind)
+}
+
 func (g *Gate) refuseAll(reason Refusal, after time.Duration) {
 	queue := g.queue
 	g.queue = nil
--- a/process/gate/request.go
+++ b/process/gate/request.go
@@ -35,6 +35,9 @@
 	CausedByRetry bool
 	// NonIdempotent marks a request that must not run twice.
 	NonIdempotent bool
+	// Suspect marks a request that may crash the target. Only one at a time is sent
+	// there, so that a crash shows which one it was.
+	Suspect bool
 	// HasAlternatives means that the sender can try other targets: if this target
 	// can't start the request now at its usual speed, it is refused.
 	HasAlternatives bool
@@ -78,6 +81,8 @@
 	// RefusedRetryBudget means that the retry budget is spent, or its part for
 	// requests that may have run.
 	RefusedRetryBudget Refusal = "repeat-budget"
+	// RefusedQuarantined means that targets crashed while they ran the request.
+	RefusedQuarantined Refusal = "quarantined"
 	// RefusedLate means that the deadline has passed or is too close.
 	RefusedLate Refusal = "too-late"
 	// RefusedFenced means that the request is non-idempotent and was fenced by its
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -61,6 +61,9 @@
 		return false
 	}
 	restarted := g.target == nil || g.target.Instance != report.Instance || g.target.StartedMillis != report.StartedMillis
+	if restarted {
+		g.ProcessEnded(now)
+	}
 	if g.target != nil && !restarted && g.target.Draining {
 		report.Draining = true
 	}
@@ -70,6 +73,7 @@
 		g.coldUntil = time.Time{}
 		g.slowdown = NormalSlowdown
 		g.failures = failureTracker{}
+		g.crashes.processStarted()
 	}
 	if report.ColdRemaining > 0 {
 		g.coldUntil = now.Add(report.ColdRemaining)
--- a/request/quarantine/message.go
+++ b/request/quarantine/message.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "verbenatrestle/request"
+import (
+	"slices"
+
+	"verbenatrestle/request"
+)
 
 // CrashID identifies a crash. Each instance of a target process can crash only
 // once.
@@ -70,3 +74,27 @@
 		return "unsuspected"
 	}
 }
+
+const (
+	// maxPartInFlight and maxPartCompletions bound the records of one part that Split
+	// returns, so that it fits into a datagram.
+	maxPartInFlight    = 40
+	maxPartCompletions = 40
+)
+
+// Split returns the records of the message in parts of less than 1,200 bytes each, if
+// names have at most 128 bytes. A crash with many requests in flight is in several
+// parts, which Table.Merge joins.
+func (m Message) Split() []Message {
+	var parts []Message
+	for _, crash := range m.Crashes {
+		for inFlight := range slices.Chunk(crash.InFlight, maxPartInFlight) {
+			part := Crash{ID: crash.ID, AtMillis: crash.AtMillis, InFlight: inFlight}
+			parts = append(parts, Message{Crashes: []Crash{part}})
+		}
+	}
+	for completions := range slices.Chunk(m.Completions, maxPartCompletions) {
+		parts = append(parts, Message{Completions: completions})
+	}
+	return parts
+}
--- a/request/quarantine/table_test.go
+++ b/request/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
@@ -299,3 +300,29 @@
 		}
 	})
 }
+
+// Records that don't fit into one datagram must arrive complete.
+func TestPartsOfAMessageJoinToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, joined := New(DefaultSettings), New(DefaultSettings)
+		for crash := range rapid.IntRange(1, 4).Draw(t, "crashes") {
+			var requests []request.Fingerprint
+			for range rapid.IntRange(1, 120).Draw(t, "requests") {
+				requests = append(requests, request.Fingerprint(rapid.Uint64().Draw(t, "request")))
+			}
+			whole.RecordCrash(CrashID{Node: "n", Instance: strconv.Itoa(crash)}, inFlight(0, requests...), start)
+		}
+		for f := range request.Fingerprint(rapid.IntRange(0, 120).Draw(t, "completions")) {
+			whole.RecordCompletion(f, true, start)
+		}
+		for _, part := range whole.Export().Split() {
+			if len(part.Crashes) > 1 || len(part.Completions) > maxPartCompletions || len(part.Crashes) == 1 && len(part.Crashes[0].InFlight) > maxPartInFlight {
+				t.Fatalf("part with %d crashes and %d completions", len(part.Crashes), len(part.Completions))
+			}
+			joined.Merge(part, start)
+		}
+		if got, want := joined.Export(), whole.Export(); !reflect.DeepEqual(got, want) {
+			t.Fatalf("joined parts are %+v, want %+v", got, want)
+		}
+	})
+}
