--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -136,9 +136,17 @@
 // addNode starts a node without its target.
 func (f *testFleet) addNode(tt testTarget) *testNode {
 	f.t.Helper()
-	name := fmt.Sprintf("n%d", len(f.nodes)+1)
-	settings := Settings{
-		Name: name, DataCentre: "z1", DataCentres: []string{"z1", "z2"}, Service: tt.service,
+	settings := f.newSettings(fmt.Sprintf("n%d", len(f.nodes)+1), tt.service)
+	n := &testNode{settings: settings, log: &lockedBuffer{}, ended: make(chan struct{})}
+	f.start(n)
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// newSettings returns the settings of a node with addresses of its own.
+func (f *testFleet) newSettings(name, service string) Settings {
+	return Settings{
+		Name: name, DataCentre: "z1", DataCentres: []string{"z1", "z2"}, Service: service,
 		Target: freeAddress(f.t), Store: f.addr,
 		Listen: Listen{
 			Callers: freeAddress(f.t), Hop: freeAddress(f.t), Readiness: freeAddress(f.t),
@@ -146,10 +154,6 @@
 		},
 		Limits: Limits{RepeatRatio: 0.2, RepeatSlack: 60, RepeatWindowSeconds: 10, ColdFactor: 1.5, StopSeconds: 3},
 	}
-	n := &testNode{settings: settings, log: &lockedBuffer{}, ended: make(chan struct{})}
-	f.start(n)
-	f.nodes = append(f.nodes, n)
-	return n
 }
 
 // start creates the node from its settings and runs it. It stands for the
--- /dev/null
+++ b/gateway/storepoll_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"io"
+	"testing"
+
+	"verbenatrestle/platform/standin"
+)
+
+// pollingNode returns a node that watches the store alone and has read the configuration.
+// It is not run: the test calls poll.
+func pollingNode(t *testing.T, f *testFleet) *Node {
+	t.Helper()
+	n, err := New(f.newSettings("polling", "s"), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.closeListeners)
+	close(n.store.listed)
+	if err := n.store.loadInitial(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	n.store.recordCallResult(nil)
+	return n
+}
+
+// pollOnce polls the store and fails the test on an error.
+func pollOnce(t *testing.T, n *Node) {
+	t.Helper()
+	if err := n.store.poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Watches report nothing for a moment while the configuration changes, as when the store
+// compacts its history. The change must be found by the next poll after that, also if the
+// history is gone by then.
+func TestPollFindsChangeThatAStalledWatchMissed(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		f := newTestFleet(t)
+		f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+		n := pollingNode(t, f)
+		f.store.Put("others", "a", []byte("{}"))
+		pollOnce(t, n)
+		f.store.SetFaults(standin.Faults{StallWatches: true})
+		f.store.Put("config", "main", standin.ConfigForServices(2, "s"))
+		pollOnce(t, n)
+		f.store.SetFaults(standin.Faults{Compacted: compacted})
+		pollOnce(t, n)
+		if got := n.config.snapshot().number(); got != 2 {
+			t.Errorf("history gone: %t: configuration %d is active, want 2", compacted, got)
+		}
+	}
+}
