Ask for changes of the configuration from the latest reading on

Cause of the failing test before: the poll advanced its revision by each watch that reported nothing, so a change that the watch had not reported was never asked for again; only a reading every 5 s found it. A brief watch now asks from the revision of the latest reading on, so a later one reports the change, or 410 if the history is gone, upon which the configuration is read.

--- a/gateway/store.go
+++ b/gateway/store.go
@@ -113,11 +113,8 @@
 	// configRevision is the latest revision of the store at which the configuration
 	// was read.
 	configRevision atomic.Uint64
-	// watchedRevision is the latest revision up to which a watch has reported the
-	// changes of the configuration, and verifiedAt is when it was last read. Only poll
-	// uses them.
-	watchedRevision uint64
-	verifiedAt      time.Time
+	// verifiedAt is when the configuration was last read. Only poll uses it.
+	verifiedAt time.Time
 	// listed is closed by firstList after the first list of the nodes, also if it
 	// failed.
 	listed    chan struct{}
@@ -264,12 +261,10 @@
 	if !s.watchRole().Active || revision == s.configRevision.Load() {
 		return nil
 	}
-	if revision != s.watchedRevision {
-		if err := s.watchConfigBriefly(ctx); errors.Is(err, store.ErrCompacted) {
-			return s.verifyConfig(ctx, revision)
-		} else if err != nil {
-			return err
-		}
+	if err := s.watchConfigBriefly(ctx); errors.Is(err, store.ErrCompacted) {
+		return s.verifyConfig(ctx, revision)
+	} else if err != nil {
+		return err
 	}
 	if time.Since(s.verifiedAt) < configVerifyInterval {
 		return nil
@@ -277,15 +272,15 @@
 	return s.verifyConfig(ctx, revision)
 }
 
-// watchConfigBriefly applies the changes of the configuration that a watch reports at
-// once. That transfers the text of the configuration only if it has changed.
+// watchConfigBriefly applies the changes of the configuration since it was last read, as
+// far as a watch reports them at once. That transfers the text of the configuration only
+// if it has changed. A watch that reports no change proves nothing: while the store
+// compacts its history, watches stall.
 func (s *storeSync) watchConfigBriefly(ctx context.Context) error {
-	after := max(s.watchedRevision, s.configRevision.Load())
-	objects, revision, err := s.textClient.Watch(ctx, platform.PrefixConfig, after, briefWatchWait)
+	objects, revision, err := s.textClient.Watch(ctx, platform.PrefixConfig, s.configRevision.Load(), briefWatchWait)
 	if err != nil {
 		return err
 	}
-	s.watchedRevision = revision
 	s.applyConfig(store.Update{Objects: objects, Revision: revision})
 	return nil
 }
