Cut a watch that gets no response, and read the configuration instead

While the store compacts its history its watches get no response at all. The poll's brief watch, which should return within a millisecond, waited for its whole 5 s, the time that a text may take on a slow link; all three nodes that read the store for the fleet hung in it, so nobody read the configuration, nor the data centres out of service. Class: one timeout for two things, the wait for a response and its transfer. After a brief watch without a response, the poll reads the configuration.

--- a/gateway/store.go
+++ b/gateway/store.go
@@ -25,6 +25,10 @@
 	// configTextTimeout bounds a call that may transfer the text of the configuration,
 	// which takes about a second on a slow link that carries nothing else.
 	configTextTimeout = 5 * time.Second
+	// briefWatchTimeout bounds the wait for the response to a watch that only asks what
+	// has changed so far. A store that is fifty times slower than usual answers in half
+	// of it.
+	briefWatchTimeout = 400 * time.Millisecond
 	// briefWatchWait is the wait of a watch that only asks what has changed so far.
 	briefWatchWait = time.Millisecond
 	// configVerifyInterval is the interval at which an active watcher reads the
@@ -101,9 +105,9 @@
 type storeSync struct {
 	node   *Node
 	client *store.Client
-	// textClient shares everything with client but the timeout.
-	textClient *store.Client
-	rng        *rand.Rand
+	// textClient and briefClient share everything with client but the timeouts.
+	textClient, briefClient *store.Client
+	rng                     *rand.Rand
 	// reachable is what recordCallResult recorded last. It is false before the
 	// first result.
 	reachable atomic.Bool
@@ -132,11 +136,12 @@
 		Registry: n.registry,
 	})
 	return &storeSync{
-		node:       n,
-		client:     client,
-		textClient: client.WithTimeout(configTextTimeout),
-		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		listed:     make(chan struct{}),
+		node:        n,
+		client:      client,
+		textClient:  client.WithTimeouts(configTextTimeout, storeTimeout),
+		briefClient: client.WithTimeouts(configTextTimeout, briefWatchTimeout),
+		rng:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		listed:      make(chan struct{}),
 	}
 }
 
@@ -261,13 +266,12 @@
 	if !s.watchRole().Active || revision == s.configRevision.Load() {
 		return nil
 	}
-	if err := s.watchConfigBriefly(ctx); errors.Is(err, store.ErrCompacted) {
+	err = s.watchConfigBriefly(ctx)
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrNoResponse) {
 		return s.verifyConfig(ctx, revision)
-	} else if err != nil {
-		return err
 	}
-	if time.Since(s.verifiedAt) < configVerifyInterval {
-		return nil
+	if err != nil || time.Since(s.verifiedAt) < configVerifyInterval {
+		return err
 	}
 	return s.verifyConfig(ctx, revision)
 }
@@ -277,7 +281,7 @@
 // if it has changed. A watch that reports no change proves nothing: while the store
 // compacts its history, watches stall.
 func (s *storeSync) watchConfigBriefly(ctx context.Context) error {
-	objects, revision, err := s.textClient.Watch(ctx, platform.PrefixConfig, s.configRevision.Load(), briefWatchWait)
+	objects, revision, err := s.briefClient.Watch(ctx, platform.PrefixConfig, s.configRevision.Load(), briefWatchWait)
 	if err != nil {
 		return err
 	}
--- a/gateway/storepoll_test.go
+++ b/gateway/storepoll_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"testing"
+	"time"
 
 	"verbenatrestle/platform/standin"
 )
@@ -52,3 +54,25 @@
 		}
 	}
 }
+
+// Watches get no response while the store compacts its history. A poll must not wait for
+// one for longer than a change may take to become active.
+func TestPollDoesNotWaitForWatchThatHangs(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	n := pollingNode(t, f)
+	f.store.SetFaults(standin.Faults{HangWatches: true})
+	f.store.Put("config", "main", standin.ConfigForServices(2, "s"))
+	ctx, cancel := context.WithTimeout(t.Context(), maxActivationTime)
+	defer cancel()
+	if err := n.store.poll(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.config.snapshot().number(); got != 2 {
+		t.Errorf("configuration %d is active, want 2", got)
+	}
+}
+
+// maxActivationTime is how long after its acknowledgement a configuration may take to
+// become active. The users of the platform set this limit.
+const maxActivationTime = 2 * time.Second
--- a/process/platform/call.go
+++ b/process/platform/call.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return Result{}, NewCallError(request, false, err)
 	}
-	response, err := c.http.Do(httpRequest)
+	response, err := c.do(httpRequest, c.responseTimeout+request.MaxWait)
 	if err != nil {
 		return Result{}, NewCallError(request, headersWritten.Load(), err)
 	}
@@ -85,6 +85,36 @@
 	})
 }
 
+// do sends a request and waits for the head of its response for the given time. The error
+// wraps ErrNoResponse if none came.
+func (c *Client) do(request *http.Request, wait time.Duration) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(request.Context())
+	timer := time.AfterFunc(wait, cancel)
+	response, err := c.http.Do(request.WithContext(ctx))
+	timedOut := !timer.Stop()
+	if err == nil {
+		response.Body = &cancellingBody{ReadCloser: response.Body, cancel: cancel}
+		return response, nil
+	}
+	cancel()
+	if timedOut && request.Context().Err() == nil {
+		err = errors.Wrapf(ErrNoResponse, "within %v: %v", wait, err)
+	}
+	return nil, err
+}
+
+// cancellingBody is the body of a response that releases its context when it is closed.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
 // decode decodes the response to a call that was made when sent was the known era.
 func (c *Client) decode(request Call, sent Era, response HTTPResponse) (Result, error) {
 	told, err := c.dialect.Era(response.Header)
--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -44,6 +44,9 @@
 	// Timeout bounds a call, including the wait for the rate limiter. The wait of
 	// a watch is added to it. Zero means DefaultTimeout.
 	Timeout time.Duration
+	// ResponseTimeout bounds the wait for the head of a response. The wait of a watch is
+	// added to it. Zero means Timeout.
+	ResponseTimeout time.Duration
 	// Rate is the rate limit in calls per second. Zero means DefaultRate.
 	Rate float64
 	// Burst is the number of calls that may be made at once. Zero means
@@ -65,14 +68,16 @@
 
 // Client calls the platform's object API. It is safe for concurrent use.
 type Client struct {
-	base     string
-	timeout  time.Duration
-	dialect  Dialect
-	http     *http.Client
-	limiter  *rate.Limiter
-	counters *counters
-	eras     *eraTracker
-	config   Config
+	base    string
+	timeout time.Duration
+	// responseTimeout is Config.ResponseTimeout.
+	responseTimeout time.Duration
+	dialect         Dialect
+	http            *http.Client
+	limiter         *rate.Limiter
+	counters        *counters
+	eras            *eraTracker
+	config          Config
 }
 
 // New returns a client. It makes no call.
@@ -80,6 +85,9 @@
 	if config.Timeout <= 0 {
 		config.Timeout = DefaultTimeout
 	}
+	if config.ResponseTimeout <= 0 {
+		config.ResponseTimeout = config.Timeout
+	}
 	if config.Rate <= 0 {
 		config.Rate = DefaultRate
 	}
@@ -93,22 +101,24 @@
 		config.Registry = metrics.NewRegistry()
 	}
 	return &Client{
-		base:     config.BaseURL,
-		timeout:  config.Timeout,
-		dialect:  config.Dialect,
-		http:     &http.Client{Transport: newTransport()},
-		limiter:  rate.NewLimiter(rate.Limit(config.Rate), config.Burst),
-		counters: newCounters(config.Registry),
-		eras:     &eraTracker{},
-		config:   config,
+		base:    config.BaseURL,
+		timeout: config.Timeout,
+
+		responseTimeout: config.ResponseTimeout,
+		dialect:         config.Dialect,
+		http:            &http.Client{Transport: newTransport()},
+		limiter:         rate.NewLimiter(rate.Limit(config.Rate), config.Burst),
+		counters:        newCounters(config.Registry),
+		eras:            &eraTracker{},
+		config:          config,
 	}
 }
 
-// WithTimeout returns a client with another Config.Timeout, which shares everything else
-// with this one.
-func (c *Client) WithTimeout(timeout time.Duration) *Client {
+// WithTimeouts returns a client with another Config.Timeout and Config.ResponseTimeout,
+// which shares everything else with this one.
+func (c *Client) WithTimeouts(timeout, response time.Duration) *Client {
 	other := *c
-	other.timeout = timeout
+	other.timeout, other.responseTimeout = timeout, response
 	return &other
 }
 
--- a/process/platform/errors.go
+++ b/process/platform/errors.go
@@ -13,6 +13,8 @@
 	// ErrCompacted means that the platform no longer stores the changes since the
 	// revision from which a watch was to continue.
 	ErrCompacted = errors.New("revision has been compacted")
+	// ErrNoResponse is the cause of a call whose response did not begin in time.
+	ErrNoResponse = errors.New("no response")
 	// ErrUnavailable means that the call failed and certainly had no effect.
 	ErrUnavailable = errors.New("platform unavailable")
 	// ErrUnknownOutcome means that the call failed and may have had its effect.
