Don't let a watcher skip what a stalled watch did not report

A watch without changes now leaves the revision as it is; if the history since then is gone, the watcher lists, as before.

--- a/process/platform/watcher.go
+++ b/process/platform/watcher.go
@@ -141,16 +141,18 @@
 		level.Info(w.Logger).Log("msg", "platform is available again", "prefix", w.Prefix)
 	}
 	w.Backoff.Reset()
-	w.revision = update.Revision
 	if update.Snapshot {
+		w.revision = update.Revision
 		w.listed = true
 		w.nextListAt = time.Now().Add(jitter(w.RelistInterval, w.Rand))
 		w.OnUpdate(update)
 		return 0
 	}
+	// A watch without changes may have stalled, so the next one asks for the same.
 	if len(update.Objects) == 0 {
 		return 0
 	}
+	w.revision = update.Revision
 	w.OnUpdate(update)
 	return time.Duration(w.Rand.Int64N(int64(w.ChangeJitter)))
 }
