Log the request limit that a target names

On call could not see that a target had named a limit. target_limit lines have it at each change. Nothing measured; no request is treated differently yet.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -153,6 +153,12 @@
 	e.journal.Log(journal.Change, "target_down", "instance", instance, "err", errText(err))
 }
 
+// targetLimit logs that the request limit changed that the local target names in its
+// responses.
+func (e *eventLog) targetLimit(s gate.State, perSecond float64, limited bool) {
+	e.journal.Log(journal.Change, "target_limit", "instance", s.Instance, "limited", limited, "per_second", perSecond, "running", s.Running)
+}
+
 // targetCrashed logs and counts a crash of the local target, with the first
 // maxLoggedInFlight requests in flight and those that are quarantined since.
 func (e *eventLog) targetCrashed(crash *gate.Crash, table *quarantine.Table) {
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -57,6 +57,9 @@
 	pool *exchange.Pool
 	// loadSampledAt is when the target last sent a load sample.
 	loadSampledAt time.Time
+	// namedLimit is the request limit that the target named last, in requests a second.
+	// Zero means none.
+	namedLimit float64
 }
 
 // newLocalTarget returns a localTarget whose target is unknown until it
@@ -196,6 +199,7 @@
 // responses are not passed on.
 func (t *localTarget) handleResponse(req *targetRequest, state gate.State, response *exchange.Response, took time.Duration) attemptResult {
 	t.recordLoadSample(response.Header.Get(platform.HeaderLoad))
+	t.applyNotices(response.Header, time.Now().Add(-took))
 	notRun := response.Header.Get(platform.HeaderNotRun) != "" || response.Status == http.StatusMisdirectedRequest
 	if notRun {
 		if response.Status == http.StatusMisdirectedRequest {
