Keep the request limit that a target names

Callers got their answers, but a target in need got 125 requests in 4 s from all nodes together, where its limit of 6.5 a second allows 44. Cause: nothing read the limit. Since all requests to a target pass the gate of its node, the gate keeps it, with a token bucket; what can't start in time is refused at once with the time until there is room (target-limit). Senders see fewer slots at such a target, so they turn to others first; after a second without requests it is offered as usual, so that a response shows whether the limit still holds. A response to a request sent before the limit was named does not end it. Ruled out: a limit kept by each node for itself, and requests that pass it (there was no limit at all).

--- a/gateway/target_notice.go
+++ b/gateway/target_notice.go
@@ -18,9 +18,11 @@
 	t.mu.Lock()
 	changed := t.namedLimit != perSecond
 	t.namedLimit = perSecond
+	t.gate.ApplyRequestLimit(perSecond, limited, sentAt, time.Now())
 	state := t.gate.State(sentAt)
 	t.mu.Unlock()
 	if changed {
+		t.node.peers.requestBroadcast()
 		t.node.events.targetLimit(state, perSecond, limited)
 	}
 }
--- a/process/gate/capacity.go
+++ b/process/gate/capacity.go
@@ -52,7 +52,7 @@
 // hasCapacity reports whether the request may start now, regardless of the
 // queue.
 func (g *Gate) hasCapacity(req Request, now time.Time) bool {
-	if g.held(&req, now) {
+	if g.held(&req, now) || !g.limiter.allows(now) {
 		return false
 	}
 	limit := g.Limit()
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -77,6 +77,7 @@
 	saturation saturationDetector
 	failures   failureTracker
 	crashes    crashTracker
+	limiter    requestLimiter
 	// nestedAt is when the latest nested call came.
 	nestedAt time.Time
 }
@@ -190,6 +191,7 @@
 func (g *Gate) recordStart(req Request, now time.Time) {
 	g.running++
 	g.crashes.begin(&req)
+	g.limiter.take(now)
 	g.arrivals.add(now)
 	if req.Retry {
 		g.runningRetries++
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -64,8 +64,11 @@
 
 // fullReason returns the reason to refuse a request for lack of capacity.
 func (g *Gate) fullReason(now time.Time) Refusal {
-	if g.cold(now) {
+	switch {
+	case g.cold(now):
 		return RefusedCold
+	case g.limiter.rate > 0:
+		return RefusedLimited
 	}
 	return RefusedFull
 }
@@ -89,7 +92,7 @@
 		spacing := time.Duration(float64(ahead) / float64(g.coldLimit()) * float64(time.Second))
 		estimate = max(estimate, g.arrivals.timeUntilBelow(now, g.coldLimit())+spacing)
 	}
-	return estimate
+	return max(estimate, g.limiter.delay(ahead, now))
 }
 
 // Cancel takes a waiter out of the queue. It returns false if the waiter is not
--- a/process/gate/request.go
+++ b/process/gate/request.go
@@ -74,6 +74,8 @@
 	RefusedFull Refusal = "full"
 	// RefusedCold is RefusedFull at a target that is cold.
 	RefusedCold Refusal = "cold"
+	// RefusedLimited is RefusedFull at a target that names a request limit.
+	RefusedLimited Refusal = "target-limit"
 	// RefusedBusy means that a request with alternatives would have to wait here.
 	RefusedBusy Refusal = "busy"
 	// RefusedSlow means that a request with alternatives would run slowly here.
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -10,7 +10,8 @@
 	Instance string
 	// Address is where the target takes requests, "IP:port".
 	Address string
-	// Slots is how many requests may run at once.
+	// Slots is how many requests may run at once, or fewer at a target that names a
+	// request limit.
 	Slots int
 	// Running counts the requests in flight to the target, and Waiting those in
 	// the queue.
@@ -39,7 +40,7 @@
 		Service:       g.target.Service,
 		Instance:      g.target.Instance,
 		Address:       g.target.Address,
-		Slots:         g.Limit(),
+		Slots:         g.advertisedSlots(now),
 		Running:       g.running,
 		Waiting:       len(g.queue),
 		Slowdown:      g.slowdown,
@@ -74,6 +75,7 @@
 		g.slowdown = NormalSlowdown
 		g.failures = failureTracker{}
 		g.crashes.processStarted()
+		g.limiter = requestLimiter{}
 	}
 	if report.ColdRemaining > 0 {
 		g.coldUntil = now.Add(report.ColdRemaining)
