Send nothing to a target that says in its responses that it leaves

Nothing read the header; some targets send no report that they drain. The gate now closes at the first such response, also of a health check, informs its peers, and stays closed until another process of the target reports. Measured: TestTargetThatSaysItLeavesGetsNoMoreRequests failed before (requests went on after 2 s) and passes; callers are answered by the other target.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -159,6 +159,12 @@
 	e.journal.Log(journal.Change, "target_limit", "instance", s.Instance, "limited", limited, "per_second", perSecond, "running", s.Running)
 }
 
+// targetLeaving logs that an instance of the local target stated in a response that it
+// shuts down soon.
+func (e *eventLog) targetLeaving(instance string) {
+	e.journal.Log(journal.Change, "target_leaving", "instance", instance)
+}
+
 // targetCrashed logs and counts a crash of the local target, with the first
 // maxLoggedInFlight requests in flight and those that are quarantined since.
 func (e *eventLog) targetCrashed(crash *gate.Crash, table *quarantine.Table) {
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -106,6 +106,9 @@
 	t := h.node.localTarget
 	t.recordLoadSample(response.Header.Get(platform.HeaderLoad))
 	instance := response.Header.Get(platform.HeaderInstance)
+	if platform.IsLeaving(response.Header.Get(platform.HeaderLeaving)) {
+		t.markLeaving(instance)
+	}
 	cold, err := platform.ParseMillis(response.Header.Get(platform.HeaderColdRemaining))
 	if err != nil {
 		h.node.events.badMessage("health", h.node.settings().Target, err)
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -199,7 +199,7 @@
 // responses are not passed on.
 func (t *localTarget) handleResponse(req *targetRequest, state gate.State, response *exchange.Response, took time.Duration) attemptResult {
 	t.recordLoadSample(response.Header.Get(platform.HeaderLoad))
-	t.applyNotices(response.Header, time.Now().Add(-took))
+	t.applyNotices(state.Instance, response.Header, time.Now().Add(-took))
 	notRun := response.Header.Get(platform.HeaderNotRun) != "" || response.Status == http.StatusMisdirectedRequest
 	if notRun {
 		if response.Status == http.StatusMisdirectedRequest {
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -93,3 +93,29 @@
 		t.Errorf("%d requests in 3 s after the end of the limit, want about half of 300", got)
 	}
 }
+
+// Some targets don't report that they leave, but say so in their responses. They must get
+// no new requests soon after.
+func TestTargetThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
+	leaving := f.add(testTarget{service: "s", slots: 8, work: 20 * time.Millisecond})
+	f.add(testTarget{service: "s", slots: 8, work: 20 * time.Millisecond})
+	f.add(testTarget{service: "u", slots: 8, work: 20 * time.Millisecond})
+	f.settled(1)
+	leaving.target.Intercept(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set(platform.HeaderLeaving, "1")
+		return false
+	})
+	began := time.Now()
+	statuses := f.sendSteadily("s", maxLeavingDelay+time.Second)
+	for _, run := range leaving.target.Runs() {
+		if late := run.StartTime.Sub(began); late > maxLeavingDelay {
+			t.Errorf("%s reached the target after %v, want at most %v", run.ID, late, maxLeavingDelay)
+			break
+		}
+	}
+	if len(statuses) != 1 || statuses[http.StatusOK] == 0 {
+		t.Errorf("responses by status: %v, want only 200: another target has room", statuses)
+	}
+}
--- a/gateway/target_notice.go
+++ b/gateway/target_notice.go
@@ -7,9 +7,12 @@
 	"verbenatrestle/platform"
 )
 
-// applyNotices applies what the target states about itself in the headers of a response
-// to a request that was sent to it at the given time.
-func (t *localTarget) applyNotices(header http.Header, sentAt time.Time) {
+// applyNotices applies what an instance of the target states about itself in the headers
+// of a response to a request that was sent to it at the given time.
+func (t *localTarget) applyNotices(instance string, header http.Header, sentAt time.Time) {
+	if platform.IsLeaving(header.Get(platform.HeaderLeaving)) {
+		t.markLeaving(instance)
+	}
 	perSecond, limited, err := platform.ParseRequestLimit(header.Get(platform.HeaderRequestLimit))
 	if err != nil {
 		t.node.events.badMessage("request_limit", t.node.settings().Target, err)
@@ -26,3 +29,14 @@
 		t.node.events.targetLimit(state, perSecond, limited)
 	}
 }
+
+// markLeaving records that an instance of the target shuts down soon.
+func (t *localTarget) markLeaving(instance string) {
+	t.mu.Lock()
+	news := t.gate.MarkLeaving(instance, time.Now())
+	t.mu.Unlock()
+	if news {
+		t.node.events.targetLeaving(instance)
+		t.node.peers.requestBroadcast()
+	}
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -84,6 +84,17 @@
 	return true
 }
 
+// MarkLeaving records that an instance of the target stated in a response that it shuts
+// down soon. It reports whether that was not known before.
+func (g *Gate) MarkLeaving(instance string, now time.Time) bool {
+	if g.target == nil || g.target.Instance != instance || g.Draining() {
+		return false
+	}
+	g.target.Draining = true
+	g.dispatch(now)
+	return true
+}
+
 // Deregister records that a process of the target leaves for good: the one that
 // started at startedMillis, and all earlier ones of the same instance. A caller
 // that does not know the start passes the present time. Both are in Unix
