Let the soak crash targets by a request and ask each node for new routes

Now the same request comes every 1.1 s and ends the process of each target that runs it; each configuration has a route of its own, and every node is asked four times a second for the routes of the latest two. Checked: at most three crashes later than 3 s after the third; while no fault is active, no 404 for a route 2 s after its acknowledgement, and no service for a dropped one. The last configuration before the calm is written while watches stall, and four follow in the calm.

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -125,6 +125,9 @@
 			line.DrainAckedMillis = drainAckedAt.UnixMilli()
 		}
 		_ = encoder.Encode(line) // if the run is answered, a lost record shows up as the violation "made up"
+		if run.Body == soak.PoisonBody {
+			os.Exit(crashStatus)
+		}
 	})
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -207,7 +210,7 @@
 // operatorCommand makes one change to the store in place of the operator.
 func operatorCommand() *soakCommand {
 	var operator standin.Operator
-	var services, out, back string
+	var services, out, back, acked string
 	var version int
 	return &soakCommand{
 		name: "operator", synopsis: "make one change to the store as the operator, for the soak",
@@ -215,6 +218,7 @@
 			f.StringVar(&operator.StoreAddress, "store", "", "`IP:port` of the store")
 			f.StringVar(&services, "services", "", "`name,...` of the services of a configuration")
 			f.IntVar(&version, "version", 0, "`number` of the configuration to write")
+			f.StringVar(&acked, "acked", "", "`file` to which the acknowledgement of a configuration is appended")
 			f.StringVar(&out, "out", "", "`data centre` to take out of service")
 			f.StringVar(&back, "back", "", "`data centre` to return to service")
 		},
@@ -223,7 +227,10 @@
 			defer cancel()
 			switch {
 			case version > 0:
-				return operator.PutConfiguration(ctx, version, strings.Split(services, ","))
+				if err := operator.PutConfiguration(ctx, version, strings.Split(services, ",")); err != nil || acked == "" {
+					return err
+				}
+				return soak.AppendAckedConfig(acked, soak.AckedConfig{Version: version, AckedMillis: time.Now().UnixMilli()})
 			case out != "":
 				return operator.TakeOutOfService(ctx, out)
 			case back != "":
@@ -236,14 +243,16 @@
 
 // callersCommand sends requests and writes a soak.CallerRecord for each.
 func callersCommand() *soakCommand {
-	var nodes, services, prefix string
+	var nodes, services, prefix, acked string
 	var rate float64
-	var timeout time.Duration
+	var timeout, poison time.Duration
 	return &soakCommand{
 		name: "callers", synopsis: "send requests to nodes and record the responses, for the soak",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&nodes, "nodes", "", "`IP:port,...` of the nodes' listeners for callers")
 			f.StringVar(&services, "services", "", "`name,...` of the services")
+			f.StringVar(&acked, "acked", "", "`file` of the acknowledged configurations, whose routes are requested from each node")
+			f.DurationVar(&poison, "poison", 0, "interval of a request that crashes the targets that run it")
 			f.StringVar(&prefix, "prefix", "r", "`text` at the start of each id")
 			f.Float64Var(&rate, "rate", 100, "requests per second")
 			f.DurationVar(&timeout, "timeout", 2*time.Second, "time for which a caller waits for a response")
@@ -251,7 +260,7 @@
 		run: func(ctx context.Context) error {
 			callers := &soak.Callers{
 				Nodes: strings.Split(nodes, ","), Services: strings.Split(services, ","),
-				RequestsPerSecond: rate, Timeout: timeout, IDPrefix: prefix,
+				RequestsPerSecond: rate, Timeout: timeout, IDPrefix: prefix, AckedConfigs: acked, PoisonInterval: poison,
 			}
 			callers.Run(ctx, os.Stdout)
 			return nil
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -31,6 +31,12 @@
 	// IDPrefix is the start of each request ID. It distinguishes the requests of
 	// different soaks.
 	IDPrefix string
+	// AckedConfigs names the file of AckedConfig records, by which the routes of single
+	// versions are requested from each node. Empty means that none are.
+	AckedConfigs string
+	// PoisonInterval is the interval of requests that crash the targets that run them.
+	// Zero means that there are none.
+	PoisonInterval time.Duration
 
 	mu  sync.Mutex
 	out io.Writer
@@ -43,13 +49,19 @@
 // writes a CallerRecord for each as a line of JSON.
 func (c *Callers) Run(ctx context.Context, out io.Writer) {
 	c.out = out
+	var group sync.WaitGroup
+	if c.AckedConfigs != "" {
+		group.Go(func() { c.probeConfigs(ctx) })
+	}
+	if c.PoisonInterval > 0 {
+		group.Go(func() { c.sendPoison(ctx) })
+	}
 	client := &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}}
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / c.RequestsPerSecond))
 	defer ticker.Stop()
-	var group sync.WaitGroup
 	for i := 0; ; i++ {
 		select {
 		case <-ctx.Done():
@@ -66,15 +78,18 @@
 // can be rewound, so each request has a body that cannot be rewound.
 func (c *Callers) sendRequest(client *http.Client, i int) {
 	service := c.Services[rand.IntN(len(c.Services))]
-	node := c.Nodes[rand.IntN(len(c.Nodes))]
 	id := fmt.Sprintf("%s-%d", c.IDPrefix, i)
-	path := "/" + service + "/" + id
-	body := strings.Repeat("x", rand.IntN(200)+1)
-	record := CallerRecord{ID: id, NonIdempotent: strings.HasPrefix(service, "once"), ExpectedBody: "POST " + path + " " + body, Node: node}
+	record := CallerRecord{ID: id, NonIdempotent: strings.HasPrefix(service, "once"), Node: c.Nodes[rand.IntN(len(c.Nodes))]}
+	c.post(client, "/"+service+"/"+id, strings.Repeat("x", rand.IntN(200)+1), record)
+}
+
+// post sends a request to record.Node and writes the record with its response.
+func (c *Callers) post(client *http.Client, path, body string, record CallerRecord) {
+	record.ExpectedBody = "POST " + path + " " + body
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+path, io.MultiReader(strings.NewReader(body)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+record.Node+path, io.MultiReader(strings.NewReader(body)))
 	if err != nil {
 		record.Failure = err.Error()
 		c.write(&record, start)
@@ -82,7 +97,7 @@
 	}
 	request.Host = "h"
 	request.ContentLength = int64(len(body))
-	request.Header.Set(platform.HeaderRequestID, id)
+	request.Header.Set(platform.HeaderRequestID, record.ID)
 	request.Header.Set(platform.HeaderTimeout, fmt.Sprint(c.Timeout.Milliseconds()))
 	c.exchange(client, request, &record)
 	c.write(&record, start)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"sort"
 	"strings"
 	"time"
 )
@@ -11,6 +13,18 @@
 // still receive requests. The users of the platform set this limit.
 const maxDrainDelay = 2 * time.Second
 
+const (
+	// maxActivationDelay is how long after its acknowledgement a configuration may take to
+	// be active on all nodes. The users of the platform set this limit.
+	maxActivationDelay = 2 * time.Second
+	// crashesBeforeQuarantine, quarantineDelay and maxLateCrashes bound the runs of a
+	// request that crashes targets: at most maxLateCrashes later than quarantineDelay
+	// after crash number crashesBeforeQuarantine. The users of the platform set them.
+	crashesBeforeQuarantine = 3
+	quarantineDelay         = 3 * time.Second
+	maxLateCrashes          = 3
+)
+
 // Result is the result of checking the records of a soak.
 type Result struct {
 	// Sent counts all requests, and Answered, NotRun and Unknown those with the
@@ -41,13 +55,18 @@
 		c := &callers[i]
 		known[c.ID] = true
 		result.checkRequest(c, runsByID[c.ID])
-		if c.EndMillis-c.DurationMillis >= faultsEndMillis {
+		if c.Config > 0 {
+			result.checkProbe(c, faultsEndMillis)
+			continue
+		}
+		if c.EndMillis-c.DurationMillis >= faultsEndMillis && !c.Poison {
 			afterFaults++
 			if c.Status == http.StatusOK {
 				answeredAfterFaults++
 			}
 		}
 	}
+	result.checkPoison(callers, runs)
 	for id, runsOfID := range runsByID {
 		if !known[id] {
 			result.addViolation("unasked: %s ran at %s, no caller sent it", id, runsOfID[0].Instance)
@@ -89,13 +108,50 @@
 		if c.NonIdempotent && len(runs) > 0 {
 			r.addViolation("lied: %s was answered as not run, but ran at %s", c.ID, runs[0].Instance)
 		}
-	case c.Status == http.StatusNotFound:
+	case c.Status == http.StatusNotFound && c.Config == 0:
 		r.addViolation("denied: %s got 404 from %s", c.ID, c.Node)
 	default:
 		r.Unknown++
 	}
 }
 
+// checkProbe checks a request for the route of one version of the configuration, if no
+// fault was active.
+func (r *Result) checkProbe(c *CallerRecord, faultsEndMillis int64) {
+	sent := c.EndMillis - c.DurationMillis
+	limit := maxActivationDelay.Milliseconds()
+	switch {
+	case sent < faultsEndMillis:
+	case c.SupersededMillis == 0 && c.Status == http.StatusNotFound && sent > c.AckedMillis+limit:
+		r.addViolation("config: %s got 404 from %s for version %d, acknowledged %d ms before", c.ID, c.Node, c.Config, sent-c.AckedMillis)
+	case c.SupersededMillis > 0 && c.Status == http.StatusOK && sent > c.SupersededMillis+limit:
+		r.addViolation("config: %s was served by %s for version %d, superseded %d ms before", c.ID, c.Node, c.Config, sent-c.SupersededMillis)
+	}
+}
+
+// checkPoison checks that a request that crashes targets is kept from them in time.
+func (r *Result) checkPoison(callers []CallerRecord, runs []RunRecord) {
+	poison := make(map[string]bool)
+	for i := range callers {
+		poison[callers[i].ID] = callers[i].Poison
+	}
+	var crashes []int64
+	for _, run := range runs {
+		if poison[run.ID] {
+			crashes = append(crashes, run.StartMillis)
+		}
+	}
+	slices.Sort(crashes)
+	if len(crashes) < crashesBeforeQuarantine {
+		return
+	}
+	limit := crashes[crashesBeforeQuarantine-1] + quarantineDelay.Milliseconds()
+	late := len(crashes) - sort.Search(len(crashes), func(i int) bool { return crashes[i] > limit })
+	if late > maxLateCrashes {
+		r.addViolation("poison: the request crashed %d more targets from %v after the third crash on", late, quarantineDelay)
+	}
+}
+
 // checkResponse checks a successful response: it must be the complete response
 // of a target to this request.
 func (r *Result) checkResponse(c *CallerRecord, runs []RunRecord) {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -31,9 +31,14 @@
 	// DurationMillis is the time from sending the request to its end, in
 	// milliseconds.
 	DurationMillis int64 `json:"took_ms"`
-	// Config is the active version of the configuration when the request was sent.
-	// Callers does not set it.
-	Config int `json:"config"`
+	// Config is the version of the configuration whose own route the request is for, or
+	// 0 for other requests. AckedMillis is when the store acknowledged that version, and
+	// SupersededMillis when it acknowledged the next one, or 0, in Unix milliseconds.
+	Config           int   `json:"config,omitempty"`
+	AckedMillis      int64 `json:"acked_ms,omitempty"`
+	SupersededMillis int64 `json:"superseded_ms,omitempty"`
+	// Poison means that targets crash when they run the request.
+	Poison bool `json:"poison,omitempty"`
 	// Failure is the error of a request without a response.
 	Failure string `json:"failure,omitempty"`
 }
@@ -54,6 +59,30 @@
 	DrainAckedMillis int64 `json:"acked_ms"`
 }
 
+// AckedConfig is the record of a configuration that the store acknowledged.
+type AckedConfig struct {
+	Version int `json:"version"`
+	// AckedMillis is the time of the acknowledgement in Unix milliseconds.
+	AckedMillis int64 `json:"at_ms"`
+}
+
+// AppendAckedConfig appends a record to a file.
+func AppendAckedConfig(name string, acked AckedConfig) error {
+	line, err := json.Marshal(acked)
+	if err != nil {
+		return errors.Wrap(err, "record configuration")
+	}
+	file, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "record configuration")
+	}
+	if _, err := file.Write(append(line, '\n')); err != nil {
+		_ = file.Close() // the error of the write says more
+		return errors.Wrap(err, "record configuration")
+	}
+	return errors.Wrap(file.Close(), "record configuration")
+}
+
 // readLines reads a file of JSON lines. It skips lines that are not valid JSON,
 // such as a last line that was truncated when its writer was killed.
 func readLines[T any](name string) ([]T, error) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,10 @@
 		"unasked":         {good, []RunRecord{ran, {ID: "smuggled"}}, "unasked"},
 		"after the drain": {good, []RunRecord{{ID: "r", Request: "x", StartMillis: 5001, DrainAckedMillis: 3000}}, "drain"},
 		"in the bound":    {good, []RunRecord{{ID: "r", Request: "x", StartMillis: 4999, DrainAckedMillis: 3000}}, ""},
+		"late config":     {with(func(t *CallerRecord) { t.Status, t.Config, t.AckedMillis, t.EndMillis = 404, 3, 1000, 3001 }), nil, "config"},
+		"config in time":  {with(func(t *CallerRecord) { t.Status, t.Config, t.AckedMillis, t.EndMillis = 404, 3, 1000, 3000 }), nil, ""},
+		"dropped route":   {with(func(t *CallerRecord) { t.Config, t.SupersededMillis, t.EndMillis = 3, 1000, 3001 }), []RunRecord{ran}, "config"},
+		"dropped in time": {with(func(t *CallerRecord) { t.Config, t.SupersededMillis, t.EndMillis = 3, 1000, 3000 }), []RunRecord{ran}, ""},
 		"no answer":       {with(func(t *CallerRecord) { t.Status = 0 }), []RunRecord{ran}, ""},
 	} {
 		callers, runs := recoveryRecords()
@@ -145,3 +149,26 @@
 		t.Error("an unknown mode was accepted")
 	}
 }
+
+// Guards against a check that lets a request crash targets without an end, or that counts
+// the crashes until the third one and those of the seconds after it.
+func TestCheckPoison(t *testing.T) {
+	for late, want := range map[int]string{maxLateCrashes: "", maxLateCrashes + 1: "poison"} {
+		callers, runs := recoveryRecords()
+		add := func(id string, at int64) {
+			callers = append(callers, CallerRecord{ID: id, ExpectedBody: "x", Poison: true})
+			runs = append(runs, RunRecord{ID: id, Request: "x", StartMillis: at})
+		}
+		for i := range crashesBeforeQuarantine {
+			add("early"+string(rune('a'+i)), 100)
+		}
+		add("in time", 100+quarantineDelay.Milliseconds())
+		for i := range late {
+			add("late"+string(rune('a'+i)), 101+quarantineDelay.Milliseconds())
+		}
+		got := strings.Join(CheckRecords(callers, runs, 1000).Violations, "; ")
+		if want == "" && got != "" || !strings.Contains(got, want) {
+			t.Errorf("%d late crashes: %q, want %q", late, got, want)
+		}
+	}
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -14,6 +14,7 @@
 NET=${NET:-127.7}
 SERVICES=(once-a safe-b)
 CALM=8 # seconds without faults at the end of a run
+CALM_CHANGES=4 # configurations in the first of these seconds, one each
 
 declare -A pid_of
 begin() { # NAME FILE COMMAND...: start a process and record its PID
@@ -54,7 +55,14 @@
 operator() { "$BIN/vtstandin" operator -store "$store" "$@" 2>/dev/null || true; } # the failure of a change is one more fault
 config() { # VERSION: write a configuration
   version=$1
-  operator -version "$1" -services "$(IFS=,; echo "${SERVICES[*]}")"
+  operator -version "$1" -acked "$dir/acked" -services "$(IFS=,; echo "${SERVICES[*]}")"
+}
+
+revive_targets() { # start the targets anew that a request has crashed
+  local i
+  for ((i = 0; i < NODES; i++)); do
+    kill -0 "${pid_of[target$i]}" 2>/dev/null || start_target "$i"
+  done
 }
 
 fault() { # KIND STORE_FAULT: inject a fault with parameters drawn by the seed; heal removes those that do not end by themselves
@@ -100,16 +108,22 @@
   sleep 0.3; config 1
   for ((i = 0; i < NODES; i++)); do start_node "$i"; start_target "$i"; done
   sleep 2
-  begin callers "$dir/told-0" "$BIN/vtstandin" callers -nodes "${nodes:1}" -services "$(IFS=,; echo "${SERVICES[*]}")" -rate "$RATE" -prefix "s$seed"
+  begin callers "$dir/told-0" "$BIN/vtstandin" callers -nodes "${nodes:1}" -services "$(IFS=,; echo "${SERVICES[*]}")" -rate "$RATE" -prefix "s$seed" -acked "$dir/acked" -poison 1.1s
   local until=$((SECONDS + SECONDS_LOAD)) store_kinds=(down silent mute_watches lose_answers compacted)
   while [ $SECONDS -lt $until ]; do
     fault "${kinds[$((RANDOM % ${#kinds[@]}))]}" "${store_kinds[$((RANDOM % 5))]}"
     [ $((RANDOM % 3)) = 0 ] && heal
+    revive_targets
     sleep "0.$((RANDOM % 8 + 1))"
   done
-  heal; config $((version + 1)); sleep 4
+  heal
+  control POST "http://$store_control/" '{"mute_watches":true}'
+  config $((version + 1)); sleep 1
+  control POST "http://$store_control/" '{}'
+  revive_targets; sleep 3
   local calm; calm=$(date +%s%3N)
-  sleep "$CALM"
+  for ((i = 0; i < CALM_CHANGES; i++)); do config $((version + 1)); revive_targets; sleep 1; done
+  sleep $((CALM - CALM_CHANGES))
   end callers; wait "${pid_of[callers]}" 2>/dev/null
   "$BIN/vtstandin" judge -dir "$dir" -calm "$calm" >"$dir/verdict" 2>&1
   local status=$? name
