Cut off bytes without end from a target, in a head or a body

A node read such a head until the deadline of the request (0.9 GB within 2 s on loopback, kept in memory), a body up to 64 MiB for each request, and when it gave up, closing the body read on until the deadline (1.4 GB). A node has 284 MB, so a few such responses end it. Now a head, with the interim responses before it, has at most 64 KiB and a body 32 MiB; large bodies that are being received share 48 MiB, beyond which they fail (memory-full) while those up to 256 KiB always fit; nothing is read after a failure; health responses have at most 64 KiB. The product's own interface kept up to 10 MiB of headers for each request; it keeps 256 KiB. Measured: TestBytesWithoutEndAreCutOff (eight kinds) and TestBodiesShareMemory failed on the code before (142 to 1452 MB sent within 2 s, the latter with a stub of the new type), TestHeadersWithoutEndAreCutOff has the limit of 10 MiB as its failing case; all pass.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -53,6 +53,10 @@
 	cancelled bool
 	// readTimeout is Request.ReadTimeout of the request.
 	readTimeout time.Duration
+	// readingHead is set while the head of a response is read, and headBytes is how many
+	// bytes may come until it ends.
+	readingHead bool
+	headBytes   int
 	// readErr is the error of the first read that failed. Further reads return it,
 	// since closing the body of a response would otherwise wait for the rest of it.
 	readErr error
@@ -74,11 +78,27 @@
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
+	if c.readingHead {
+		if c.headBytes <= 0 {
+			c.readErr = errors.Wrapf(errMalformedResponse, "head is longer than %d bytes", maxHeadBytes)
+			return 0, c.readErr
+		}
+		p = p[:min(len(p), c.headBytes)]
+	}
 	n, err := c.Conn.Read(p)
+	c.headBytes -= n
 	c.readErr = err
 	return n, err
 }
 
+// stopReading makes further reads fail with an error, so that closing the body of a
+// response does not read on.
+func (c *conn) stopReading(err error) {
+	if c.readErr == nil {
+		c.readErr = err
+	}
+}
+
 // begin prepares the connection for a request.
 func (c *conn) begin(readTimeout time.Duration) {
 	c.deadlineMu.Lock()
@@ -121,7 +141,7 @@
 // roundTrip sends the request and reads its response. The second result reports
 // whether the connection may be used again. The end of ctx fails pending reads
 // and writes.
-func (c *conn) roundTrip(ctx context.Context, request *Request, idHeader string, maxBody int64) (*Response, bool, error) {
+func (c *conn) roundTrip(ctx context.Context, request *Request, options *Options) (*Response, bool, error) {
 	c.begin(request.ReadTimeout)
 	stop := context.AfterFunc(ctx, c.cancel)
 	defer stop()
@@ -129,7 +149,7 @@
 	if err != nil {
 		return nil, false, errors.Wrap(err, "write request")
 	}
-	response, reusable, err := c.readMatchingResponse(request, idHeader, maxBody)
+	response, reusable, err := c.readMatchingResponse(request, options)
 	if err != nil {
 		return nil, false, err
 	}
@@ -175,17 +195,17 @@
 
 // readMatchingResponse reads the response to the request, and skips responses
 // to other requests.
-func (c *conn) readMatchingResponse(request *Request, idHeader string, maxBody int64) (*Response, bool, error) {
+func (c *conn) readMatchingResponse(request *Request, options *Options) (*Response, bool, error) {
 	for range maxSkippedResponses {
-		response, reusable, err := c.readResponse(request.Method, maxBody)
+		response, reusable, err := c.readResponse(request.Method, options)
 		if err != nil {
 			return nil, false, err
 		}
-		if matchesRequest(response, request.ID, idHeader) {
+		if matchesRequest(response, request.ID, options.IDHeader) {
 			return response, reusable, nil
 		}
 		if !reusable {
-			return nil, false, &mismatchedIDError{id: response.Header.Get(idHeader)}
+			return nil, false, &mismatchedIDError{id: response.Header.Get(options.IDHeader)}
 		}
 	}
 	return nil, false, errors.Wrap(errMalformedResponse, "too many answers to other requests")
@@ -214,27 +234,46 @@
 
 // readResponse reads one final response with its whole body. The second result
 // reports whether the connection stays open.
-func (c *conn) readResponse(method string, maxBody int64) (*Response, bool, error) {
+func (c *conn) readResponse(method string, options *Options) (*Response, bool, error) {
 	response, err := c.readHead(method)
 	if err != nil {
 		return nil, false, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	body, err := readBody(response, options)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "read body of answer")
-	}
-	if int64(len(body)) > maxBody {
-		return nil, false, errors.Wrapf(errMalformedResponse, "body is longer than %d bytes", maxBody)
+		err = errors.Wrap(err, "read body of answer")
+		c.stopReading(err)
+		return nil, false, err
 	}
 	c.keepAlive = parseKeepAlive(response.Header.Get("Keep-Alive"))
 	c.used = true
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, !response.Close, nil
 }
 
+// readBody reads the whole body of a response.
+func readBody(response *http.Response, options *Options) ([]byte, error) {
+	if response.ContentLength > options.MaxBodyBytes {
+		return nil, errors.Wrapf(errMalformedResponse, "body of %d bytes", response.ContentLength)
+	}
+	body, err := options.Memory.readAll(response.Body, options.MaxBodyBytes)
+	if err != nil && !isConnError(err) && !errors.Is(err, errMemoryExhausted) {
+		return nil, errors.Wrapf(errMalformedResponse, "%v", err)
+	}
+	return body, err
+}
+
+// isConnError reports whether an error comes from the connection, and not from the parser.
+func isConnError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)
+}
+
 // readHead reads the status line and headers of the final response, and skips
 // interim responses.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.readingHead, c.headBytes = true, maxHeadBytes
+	defer func() { c.readingHead = false }()
 	for range maxInterimResponses {
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, errors.Wrap(err, "read answer")
@@ -256,8 +295,7 @@
 // classifyParseError wraps an error of http.ReadResponse. Errors of the parser
 // get errMalformedResponse as their cause; errors of the connection don't.
 func classifyParseError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+	if isConnError(err) {
 		return errors.Wrap(err, "read head of answer")
 	}
 	return errors.Wrapf(errMalformedResponse, "read head of answer: %v", err)
--- a/connection/exchange/error.go
+++ b/connection/exchange/error.go
@@ -22,6 +22,8 @@
 	KindBroken Kind = "connection-broken"
 	// KindMalformed means that the server sent no valid response to the request.
 	KindMalformed Kind = "malformed-answer"
+	// KindMemoryExhausted means that Options.Memory did not allow the body of the response.
+	KindMemoryExhausted Kind = "memory-full"
 	// KindTimeout means that the deadline passed before the response was
 	// complete.
 	KindTimeout Kind = "timeout"
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -17,7 +17,7 @@
 	// closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
 	// defaultMaxBodyBytes is the default of Options.MaxBodyBytes.
-	defaultMaxBodyBytes = 64 << 20
+	defaultMaxBodyBytes = 32 << 20
 )
 
 // errPoolExhausted is the cause of a KindPoolExhausted error.
@@ -40,8 +40,11 @@
 	// MaxOpenConnections bounds the open connections, idle or in use. Zero means
 	// no bound.
 	MaxOpenConnections int
-	// MaxBodyBytes bounds the body of a response. Zero means 64 MiB.
+	// MaxBodyBytes bounds the body of a response. Zero means 32 MiB.
 	MaxBodyBytes int64
+	// Memory bounds the bodies that are being received, together with those of other
+	// pools. Nil means that they are not bounded together.
+	Memory *MemoryBudget
 	// OnOpen, if set, is called after a connection was opened.
 	OnOpen func()
 }
@@ -103,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, reusable, err := c.roundTrip(ctx, request, p.options.IDHeader, p.options.MaxBodyBytes)
+	response, reusable, err := c.roundTrip(ctx, request, &p.options)
 	if err != nil {
 		p.discard(c)
 		return nil, &Error{Kind: p.classify(ctx, err), RemoteAddr: p.address, MaybeSent: true, Cause: err}
@@ -121,6 +124,9 @@
 	if errors.Is(err, errMalformedResponse) {
 		return KindMalformed
 	}
+	if errors.Is(err, errMemoryExhausted) {
+		return KindMemoryExhausted
+	}
 	return classify(ctx, err, KindBroken)
 }
 
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -148,7 +148,7 @@
 	results := make(chan error, askers)
 	for range askers {
 		go func() {
-			client := newHopClient(holder.Node)
+			client := newHopClient(holder.Node, nil)
 			_, err := client.config(t.Context(), holder.settings.Listen.Hop)
 			results <- err
 		}()
--- a/gateway/health.go
+++ b/gateway/health.go
@@ -19,6 +19,8 @@
 	// healthCheckIdleTimeout is how long the connection for health checks is
 	// kept idle.
 	healthCheckIdleTimeout = 5 * time.Second
+	// maxHealthBytes bounds the body of a response to a health check.
+	maxHealthBytes = 64 << 10
 )
 
 // healthChecker checks the health of the local target: its slowdown, whether
@@ -82,8 +84,8 @@
 	if h.pool == nil || h.pool.Address() != state.Address {
 		h.pool = exchange.NewPool(state.Address, exchange.Options{
 			DialTimeout: targetDialTimeout,
-			IdleTimeout: healthCheckIdleTimeout,
-			OnOpen:      func() { h.node.metrics.targetConnections.Inc(1) },
+			IdleTimeout: healthCheckIdleTimeout, MaxBodyBytes: maxHealthBytes,
+			OnOpen: func() { h.node.metrics.targetConnections.Inc(1) },
 		})
 	}
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -72,6 +72,8 @@
 // concurrent use.
 type hopClient struct {
 	node *Node
+	// memory bounds the bodies of responses that are being received.
+	memory *exchange.MemoryBudget
 
 	mu    sync.Mutex
 	pools map[string]*hopPool
@@ -85,8 +87,8 @@
 }
 
 // newHopClient returns a client without connections.
-func newHopClient(n *Node) *hopClient {
-	return &hopClient{node: n, pools: make(map[string]*hopPool)}
+func newHopClient(n *Node, memory *exchange.MemoryBudget) *hopClient {
+	return &hopClient{node: n, memory: memory, pools: make(map[string]*hopPool)}
 }
 
 // do sends a request over a connection of the address's pool.
@@ -108,6 +110,7 @@
 			DialTimeout:    hopDialTimeout,
 			TCPUserTimeout: hopUserTimeout,
 			IdleTimeout:    hopIdleTimeout,
+			Memory:         h.memory,
 		})}
 		h.pools[address] = p
 	}
--- a/gateway/hop_test.go
+++ b/gateway/hop_test.go
@@ -68,7 +68,7 @@
 // A sweep between the choice of a pool and the use of it must not drop the pool, or
 // its connections would never be closed.
 func TestPoolInUseIsNotSwept(t *testing.T) {
-	h := newHopClient(nil)
+	h := newHopClient(nil, nil)
 	p := h.acquire("127.0.0.1:1")
 	h.sweep(time.Now())
 	if h.acquire("127.0.0.1:1") != p {
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -288,6 +288,7 @@
 		DialTimeout:        targetDialTimeout,
 		IdleTimeout:        targetIdleTimeout,
 		MaxOpenConnections: connectionLimit(service),
+		Memory:             t.node.responseMemory,
 		OnOpen:             func() { t.node.metrics.targetConnections.Inc(1) },
 	})
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"verbenatrestle/connection/exchange"
 	"verbenatrestle/connection/pipeline"
 	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/fleet"
@@ -34,6 +35,9 @@
 	// larger than those of callers.
 	hopHeaderRoom = 4
 	hopBodyRoom   = 2
+	// receivedResponseBytes bounds the bodies of large responses that a node receives at
+	// once, from its target and from other nodes.
+	receivedResponseBytes = 48 << 20
 	// tickInterval is the interval of the periodic work in tick while requests wait at
 	// the gate, and idleTickInterval that at other times.
 	tickInterval     = 20 * time.Millisecond
@@ -55,6 +59,7 @@
 	peers           *statusExchange
 	hopClient       *hopClient
 	crashes         *crashExchange
+	responseMemory  *exchange.MemoryBudget
 	store           *storeSync
 	trafficSplitter *trafficSplitter
 	events          *eventLog
@@ -97,7 +102,8 @@
 	})
 	n.health = newHealthChecker(n)
 	n.peers = newStatusExchange(n, rand.Uint64())
-	n.hopClient = newHopClient(n)
+	n.responseMemory = exchange.NewMemoryBudget(receivedResponseBytes)
+	n.hopClient = newHopClient(n, n.responseMemory)
 	n.crashes = newCrashExchange(n)
 	n.store = newStoreSync(n)
 	n.readiness = &readiness{node: n}
--- a/node/targetclient.go
+++ b/node/targetclient.go
@@ -15,6 +15,8 @@
 	// maxPreopenedAge is how long a preopened connection may wait for its first
 	// use.
 	maxPreopenedAge = 20 * time.Second
+	// maxResponseHeaderBytes bounds the head of a target's response.
+	maxResponseHeaderBytes = 256 << 10
 	// targetIdleTimeout is how long a connection may be idle after a request.
 	targetIdleTimeout = 5 * time.Minute
 	// staleCheckTimeout is the timeout of the read that checks, before the first
@@ -62,6 +64,8 @@
 		MaxIdleConns:        connections,
 		MaxIdleConnsPerHost: connections,
 		MaxConnsPerHost:     connections,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	return c
 }
