Keep the share of silent peers in the retry budget

If all processes stand still for a moment, as the lost peers in the users' logs suggest (silent for 0.76 to 0.99 s), each gate takes itself for alone and allows the whole slack, four times what the service may have, just when many requests failed. Peers that were heard, or found, within the window of the budget now count. Not reproduced with processes.

--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -341,7 +341,8 @@
 
 // sweep closes idle connections and counts the targets beside the other nodes.
 func (t *localTarget) sweep(now time.Time) {
-	targets := t.node.fleet.PeerTargets(t.state(now).Service, now)
+	window := t.node.settings().Limits.retryBudget().Window
+	targets := t.node.fleet.PeerTargets(t.state(now).Service, window, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.gate.SetPeerTargets(targets)
--- a/process/fleet/candidates.go
+++ b/process/fleet/candidates.go
@@ -79,14 +79,15 @@
 }
 
 // PeerTargets counts the targets beside the other nodes, for the gate of a target of
-// the given service. Nodes of heartbeat peers count if datagrams arrived from them
-// recently; the other nodes are taken to run.
-func (t *Table) PeerTargets(service string, now time.Time) gate.PeerTargets {
+// the given service. Nodes of heartbeat peers count if something arrived from them, or they
+// were added, within the time window of the retry budget: a node that is silent for a
+// shorter time may have used its share. The other nodes are taken to run.
+func (t *Table) PeerTargets(service string, window time.Duration, now time.Time) gate.PeerTargets {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var targets gate.PeerTargets
 	for _, p := range t.peers {
-		if !p.StatusOnly && !t.receivedRecently(p, now) {
+		if !p.StatusOnly && now.Sub(p.lastHeard()) >= window {
 			continue
 		}
 		if p.Status.SlowWhenFull {
