--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"verbenatrestle/internal/neterr"
 )
 
 const (
@@ -257,18 +258,12 @@
 		return nil, errors.Wrapf(errMalformedResponse, "body of %d bytes", response.ContentLength)
 	}
 	body, err := options.Memory.readAll(response.Body, options.MaxBodyBytes)
-	if err != nil && !isConnError(err) && !errors.Is(err, errMemoryExhausted) {
+	if err != nil && !neterr.IsConnection(err) && !errors.Is(err, errMemoryExhausted) {
 		return nil, errors.Wrapf(errMalformedResponse, "%v", err)
 	}
 	return body, err
 }
 
-// isConnError reports whether an error comes from the connection, and not from the parser.
-func isConnError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)
-}
-
 // readHead reads the status line and headers of the final response, and skips
 // interim responses.
 func (c *conn) readHead(method string) (*http.Response, error) {
@@ -295,7 +290,7 @@
 // classifyParseError wraps an error of http.ReadResponse. Errors of the parser
 // get errMalformedResponse as their cause; errors of the connection don't.
 func classifyParseError(err error) error {
-	if isConnError(err) {
+	if neterr.IsConnection(err) {
 		return errors.Wrap(err, "read head of answer")
 	}
 	return errors.Wrapf(errMalformedResponse, "read head of answer: %v", err)
--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"verbenatrestle/internal/neterr"
 )
 
 const (
@@ -254,19 +256,12 @@
 		return c.server.Reject(http.StatusRequestHeaderFieldsTooLarge, "headers are too long")
 	case timedOut:
 		return c.server.Reject(http.StatusRequestTimeout, "headers did not come in time")
-	case isConnError(err):
+	case neterr.IsConnection(err):
 		return nil
 	}
 	return c.server.Reject(http.StatusBadRequest, "malformed request: "+err.Error())
 }
 
-// isConnError reports whether an error comes from the connection, and not from
-// the parser.
-func isConnError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // readBody reads the whole body. For a request with "Expect: 100-continue" it
 // sends the 100 response first, once the responses to earlier requests are
 // written.
@@ -292,7 +287,7 @@
 		return body, nil, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, c.server.Reject(http.StatusRequestTimeout, "body did not come in time"), nil
-	case isConnError(err):
+	case neterr.IsConnection(err):
 		return nil, nil, errors.Wrap(err, "read body")
 	}
 	return nil, c.server.Reject(http.StatusBadRequest, "malformed body: "+err.Error()), nil
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -5,11 +5,8 @@
 	"math/rand/v2"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"verbenatrestle/connection/wire"
 	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/gate"
@@ -189,6 +186,3 @@
 	}
 	return "", 0
 }
-
-// connectionRefused reports whether no process listens at the address that was dialled.
-func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/gateway/target_failure.go
+++ b/gateway/target_failure.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"verbenatrestle/connection/exchange"
+	"verbenatrestle/internal/neterr"
 	"verbenatrestle/process/gate"
 	"verbenatrestle/request"
 )
@@ -64,7 +65,7 @@
 	if changed {
 		t.gate.MarkDown(time.Now())
 	}
-	if state.Instance == instance && (connectionRefused(err) || errors.Is(err, errOtherInstance)) {
+	if state.Instance == instance && (neterr.IsRefused(err) || errors.Is(err, errOtherInstance)) {
 		t.gate.ProcessEnded(time.Now())
 	}
 	crash := t.gate.TakeCrash()
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -6,14 +6,13 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/pkg/errors"
 
 	"verbenatrestle/connection/load"
+	"verbenatrestle/internal/neterr"
 	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/admission"
 	"verbenatrestle/version"
@@ -255,7 +254,7 @@
 		_ = conn.Close()
 		return
 	}
-	if !connectionRefused(err) {
+	if !neterr.IsRefused(err) {
 		return
 	}
 	now := time.Now()
@@ -266,8 +265,3 @@
 	t.proxy.reportCrash(crash, now)
 	t.publish()
 }
-
-// connectionRefused reports whether no process listens at the dialled address.
-func connectionRefused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
