Send the latest crashes to a node that starts, whatever else is known

Found by reading the diff: a node that starts got the last 32 parts of all records, in which completions come after crashes, so with a few hundred completed suspects it learnt of no crash and let a quarantined request through until the repairs reached it; these, too, drew mostly completions. Both now have room for each kind. Measured: TestStartingNodeGetsTheLatestCrashes failed with the selection before (0 of the 10 latest crashes) and passes.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -35,9 +36,11 @@
 	// one random peer, which may have missed them.
 	crashRepairInterval = time.Second
 	// crashStartSenders is how many peers, on average, send their records to a node
-	// that has started, and maxCrashStartParts how many datagrams each.
-	crashStartSenders  = 3
-	maxCrashStartParts = 32
+	// that has started. Each sends at most maxStartCrashParts datagrams with the latest
+	// crashes and maxStartCompletionParts with the latest completions.
+	crashStartSenders       = 3
+	maxStartCrashParts      = 32
+	maxStartCompletionParts = 8
 )
 
 // crashExchange exchanges the records of crashes and of completed suspects with the
@@ -122,14 +125,26 @@
 	}
 }
 
-// repair sends one random part of all records to one random peer.
+// repair sends one random part of the crashes, and one of the completions, to one random
+// peer.
 func (c *crashExchange) repair() {
-	if parts := c.table.Export().Split(); len(parts) > 0 {
-		i := rand.IntN(len(parts))
-		c.send(parts[i:i+1], 1)
+	var chosen []quarantine.Message
+	crashes, completions := splitByKind(c.table.Export())
+	for _, parts := range [][]quarantine.Message{crashes, completions} {
+		if len(parts) > 0 {
+			chosen = append(chosen, parts[rand.IntN(len(parts))])
+		}
+	}
+	if len(chosen) > 0 {
+		c.send(chosen, 1)
 	}
 }
 
+// splitByKind returns the parts of a message with crashes and those with completions.
+func splitByKind(m quarantine.Message) (crashes, completions []quarantine.Message) {
+	return quarantine.Message{Crashes: m.Crashes}.Split(), quarantine.Message{Completions: m.Completions}.Split()
+}
+
 // send sends parts to some random peers.
 func (c *crashExchange) send(parts []quarantine.Message, peers int) {
 	rng := c.node.rngs.Get().(*rand.Rand)
@@ -154,8 +169,16 @@
 	if records.Empty() || rand.Float64()*float64(peers) >= crashStartSenders {
 		return
 	}
-	parts := records.Split()
-	c.sendTo(address, parts[max(0, len(parts)-maxCrashStartParts):])
+	c.sendTo(address, startParts(records))
+}
+
+// startParts returns the parts of all records that a node gets that has started. Records
+// are ordered by time.
+func startParts(records quarantine.Message) []quarantine.Message {
+	crashes, completions := splitByKind(records)
+	crashes = crashes[max(0, len(crashes)-maxStartCrashParts):]
+	completions = completions[max(0, len(completions)-maxStartCompletionParts):]
+	return slices.Concat(crashes, completions)
 }
 
 // quarantined returns the failure of a request that targets crashed under, or nil.
--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -153,3 +153,28 @@
 		}
 	}
 }
+
+// The records for a node that starts are bounded. Many completed suspects must not take
+// the room of the latest crashes, which keep a request from targets.
+func TestStartingNodeGetsTheLatestCrashes(t *testing.T) {
+	table := quarantine.New(quarantine.DefaultSettings)
+	now := time.Now()
+	for i := range 60 {
+		table.RecordCrash(quarantine.CrashID{Node: "n", Instance: fmt.Sprint(i)}, []quarantine.InFlightRequest{{Fingerprint: request.Fingerprint(i)}}, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	for f := range request.Fingerprint(2000) {
+		table.RecordCompletion(1000+f, true, now)
+	}
+	parts := startParts(table.Export())
+	latest := 0
+	for _, part := range parts {
+		for _, crash := range part.Crashes {
+			if crash.AtMillis >= now.Add(50*time.Millisecond).UnixMilli() {
+				latest++
+			}
+		}
+	}
+	if len(parts) > maxStartCrashParts+maxStartCompletionParts || latest != 10 {
+		t.Errorf("%d parts with %d of the 10 latest crashes", len(parts), latest)
+	}
+}
