Say what nodes send and receive: reword comments and names that let nodes hear and tell

Some 60 comments, and names such as heard, heardAt, lastHeard and told, used a metaphor in place of the field's terms: nodes send, receive, learn and report.

--- a/connection/pipeline/server_test.go
+++ b/connection/pipeline/server_test.go
@@ -221,7 +221,7 @@
 	}
 }
 
-// handoverListener accepts a connection that it hands over only when told to.
+// handoverListener accepts a connection that it hands over only on request.
 type handoverListener struct {
 	net.Listener
 	accepted chan struct{}
--- a/gateway/configlag.go
+++ b/gateway/configlag.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// outdatedMemory is how long a node counts as outdated after it last heard of a newer
+// outdatedMemory is how long a node counts as outdated after it last received the number of a newer
 // configuration than its own, in case nobody serves that one any more.
 const outdatedMemory = 30 * time.Second
 
@@ -13,24 +13,24 @@
 // active one. It is safe for concurrent use.
 type configLag struct {
 	mu sync.Mutex
-	// newest is the highest number that the node has heard of.
+	// newest is the highest number that the node has received.
 	newest uint64
-	// heardAt is when the node last heard of the newest number.
-	heardAt time.Time
-	// since is when the node first heard of a number above the active one, or zero if
+	// receivedAt is when the node last received the newest number.
+	receivedAt time.Time
+	// since is when the node first received a number above the active one, or zero if
 	// the active configuration is the newest known one.
 	since time.Time
 	// failures counts the failed fetches since then.
 	failures int
 }
 
-// heard records the number of a configuration that a peer or the store has, and
+// received records the number of a configuration that a peer or the store has, and
 // that of the active one.
-func (l *configLag) heard(number, active uint64, now time.Time) {
+func (l *configLag) received(number, active uint64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if number >= l.newest {
-		l.newest, l.heardAt = number, now
+		l.newest, l.receivedAt = number, now
 	}
 	if l.newest > active && l.since.IsZero() {
 		l.since = now
@@ -42,7 +42,7 @@
 func (l *configLag) outdated(active uint64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.newest > active && now.Sub(l.heardAt) < outdatedMemory
+	return l.newest > active && now.Sub(l.receivedAt) < outdatedMemory
 }
 
 // elapsed returns for how long the node has known of a newer configuration than the
@@ -81,7 +81,7 @@
 	return outdatedFor, failures
 }
 
-// newestKnown returns the highest number that the node has heard of.
+// newestKnown returns the highest number that the node has received.
 func (l *configLag) newestKnown() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/configlag_test.go
+++ b/gateway/configlag_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// The log has to tell whether a node was late because it could not get a configuration
+// The log has to show whether a node was late because it could not get a configuration
 // that it knew of. The time counts from the first number above the active one, also if
 // further ones follow before the first is fetched.
 func TestConfigLagCountsFromTheFirstNewerNumber(t *testing.T) {
@@ -15,10 +15,10 @@
 	if d, n := lag.activated(3, at(0)); d != 0 || n != 0 {
 		t.Fatalf("the first configuration: %v, %d failures", d, n)
 	}
-	lag.heard(3, 3, at(10))
-	lag.heard(5, 3, at(100))
+	lag.received(3, 3, at(10))
+	lag.received(5, 3, at(100))
 	lag.fetchFailed()
-	lag.heard(7, 3, at(300))
+	lag.received(7, 3, at(300))
 	if lag.newestKnown() != 7 {
 		t.Fatalf("newest %d", lag.newestKnown())
 	}
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -20,7 +20,7 @@
 	"verbenatrestle/request"
 )
 
-// A status tells of a newer configuration at the moment at which a pull has found none
+// A status announces a newer configuration at the moment at which a pull has found none
 // and ends. The pull has to begin again, or the node stays outdated until another
 // status arrives.
 func TestStatusAtTheEndOfAPullIsNotLost(t *testing.T) {
@@ -76,7 +76,7 @@
 	f.settled(3)
 }
 
-// A node hears of a configuration by datagrams, but no peer can be connected to. It has
+// A node learns of a configuration by datagrams, but no peer can be connected to. It has
 // to read the configuration from the store, although it is not one of those that watch
 // the store for the fleet.
 func TestNodeThatCanNotFetchReadsTheStore(t *testing.T) {
@@ -115,21 +115,21 @@
 	if lag.outdated(3, start) {
 		t.Fatal("outdated with the only configuration")
 	}
-	lag.heard(4, 3, start)
+	lag.received(4, 3, start)
 	for _, later := range []time.Duration{0, 2 * unreachableAfter, outdatedMemory - time.Millisecond} {
 		if !lag.outdated(3, start.Add(later)) {
-			t.Fatalf("not outdated %v after it heard of a newer configuration", later)
+			t.Fatalf("not outdated %v after it received the number of a newer configuration", later)
 		}
 	}
 	if lag.outdated(4, start) {
 		t.Fatal("outdated with the newest configuration")
 	}
 	if lag.outdated(3, start.Add(outdatedMemory)) {
-		t.Fatal("nobody has told of it for so long that it may be gone")
+		t.Fatal("nobody has announced it for so long that it may be gone")
 	}
-	lag.heard(4, 3, start.Add(outdatedMemory))
+	lag.received(4, 3, start.Add(outdatedMemory))
 	if !lag.outdated(3, start.Add(outdatedMemory+time.Second)) {
-		t.Fatal("not outdated though it was told again")
+		t.Fatal("not outdated though it was announced again")
 	}
 }
 
@@ -195,7 +195,7 @@
 	n.peers.merge(f.ctx, &status, freeUDPAddress(f.t))
 }
 
-// The only holder is busy at first, and tells of its configuration once only. The node
+// The only holder is busy at first, and announces its configuration once only. The node
 // has to ask again.
 func TestPullGoesOnWhileTheHolderIsBusy(t *testing.T) {
 	f := newTestFleet(t)
@@ -322,7 +322,7 @@
 			n.fleet.Merge(status, fmt.Sprintf("127.0.0.4:%d", 1+i), now)
 			n.fleet.MergeLoad(status.Node, fleet.Load{}, now)
 		}
-		n.configLag.heard(2, 0, now.Add(-2*storeReadAfter))
+		n.configLag.received(2, 0, now.Add(-2*storeReadAfter))
 		n.store.reachable.Store(true)
 		return n
 	}
--- a/gateway/configspread_test.go
+++ b/gateway/configspread_test.go
@@ -168,12 +168,12 @@
 	}
 	ahead := fleet.Status{Node: "ahead", Incarnation: 9, DataCentre: "z1", HopAddress: freeAddress(t), ConfigNumber: 2}
 	sequence := uint64(0)
-	hear := func() {
+	receive := func() {
 		sequence++
 		ahead.Sequence = sequence
 		a.peers.merge(f.ctx, &ahead, freeUDPAddress(t))
 	}
-	hear()
+	receive()
 	got := a.call(t, http.MethodGet, "/added/1", "outdated", "")
 	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
 		t.Errorf("outdated: status %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
@@ -181,7 +181,7 @@
 	if got := a.call(t, http.MethodGet, "/s/1", "known", ""); got.status != http.StatusOK {
 		t.Errorf("a route of the active configuration: %d", got.status)
 	}
-	hear()
+	receive()
 	long := strings.Repeat("x", 1<<20+1)
 	header := strings.Repeat("y", defaultHeaderBytes)
 	if got := a.call(t, http.MethodGet, "/s/"+header, "long-header", ""); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
@@ -196,7 +196,7 @@
 		t.Errorf("outdated, and the peer is silent: status %d", got.status)
 	}
 	if !strings.Contains(a.log.String(), `"newest":2`) {
-		t.Error("the log doesn't tell that the node was outdated")
+		t.Error("the log doesn't show that the node was outdated")
 	}
 }
 
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -71,7 +71,7 @@
 
 // noRoute logs and counts a request that matches no route of the active
 // configuration. Newest is the highest number of a configuration that the node has
-// heard of.
+// received.
 func (e *eventLog) noRoute(id string, r *pipeline.Request, config *configSnapshot, newest uint64, now time.Time) {
 	e.metrics.noRoute.Inc(1)
 	e.journal.Log(journal.Failure, "no_route", "request", id, "host", r.Host, "path", r.Path,
@@ -124,7 +124,7 @@
 }
 
 // collected logs and counts a request whose result was asked for over another connection.
-// Result is nil if the other node could not tell.
+// Result is nil if the other node does not know the result.
 func (e *eventLog) collected(p *pendingHop, result *attemptResult, err error) {
 	outcome := request.Unknown
 	if result != nil {
@@ -137,7 +137,7 @@
 		"outcome", outcome, "err", errText(err))
 }
 
-// storeWentBack logs and counts a rise of the store's era, as source told: the store is an
+// storeWentBack logs and counts a rise of the store's era, as source reported: the store is an
 // older copy of itself.
 func (e *eventLog) storeWentBack(before, after store.Era, source string) {
 	e.metrics.storeWentBack.Inc(1)
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -25,7 +25,7 @@
 // headerOrder carries the admission properties of a request, the incarnation of
 // the node in a fence, and "arrived" in the response to a request if
 // attemptResult.arrived is set. headerReason carries attemptResult.reason.
-// headerAttempt tells apart the times that a request is sent to one node.
+// headerAttempt identifies each of the times that a request is sent to one node.
 const (
 	headerOrder   = "Vt-Order"
 	headerReason  = "Vt-Reason"
--- a/gateway/hopcollect.go
+++ b/gateway/hopcollect.go
@@ -169,7 +169,7 @@
 	h.node.events.connectionSilent(silent, dropped, len(pending))
 }
 
-// errNotCollected is logged if the other node could not tell the result of a request.
+// errNotCollected is logged if the other node does not know the result of a request.
 var errNotCollected = errors.New("the other node does not know the result")
 
 // serveCollect answers with the result of a request that another node has sent before,
--- a/gateway/hopcollect_test.go
+++ b/gateway/hopcollect_test.go
@@ -249,6 +249,6 @@
 	}
 	to.Incarnation++
 	if r := pending("ran").collect(); r != nil {
-		t.Errorf("another process of the node told %+v", r)
+		t.Errorf("another process of the node reported %+v", r)
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -270,7 +270,7 @@
 	p.node.store.eraRose(store.VersionEra(status.OutRevision), status.Node)
 	p.node.config.updateFromPeer(status.DataCentresOut, status.OutRevision, status.Node, time.Now())
 	if status.ConfigNumber > config.number() {
-		p.node.configLag.heard(status.ConfigNumber, config.number(), time.Now())
+		p.node.configLag.received(status.ConfigNumber, config.number(), time.Now())
 		p.configPuller.start(ctx)
 	}
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// state returns what a dump tells of the snapshot.
+// state returns the part of a dump that describes the snapshot.
 func (s *configSnapshot) state(now time.Time) ConfigState {
 	c := ConfigState{
 		Number: s.number(), Source: s.source, DocumentBytes: len(s.document),
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -69,7 +69,7 @@
 	startJitter          = 50 * time.Millisecond
 	evacuationListJitter = 400 * time.Millisecond
 	// largeStartJitter takes the place of startJitter in a fleet of largeFleet nodes or
-	// more, whose nodes need longer to tell each other.
+	// more, whose messages need longer to reach all nodes.
 	largeStartJitter = 400 * time.Millisecond
 	// firstFleetWait is how long a node that found no others in the store waits for
 	// the configuration of one before it may read by itself. The whole fleet starts
@@ -130,7 +130,7 @@
 	// failed.
 	listed    chan struct{}
 	firstList sync.Once
-	// era is the highest era of the store that the store or a peer told.
+	// era is the highest era of the store that the store or a peer reported.
 	era atomic.Uint64
 	// recordLost is set when the record of this node may be gone.
 	recordLost atomic.Bool
@@ -166,7 +166,7 @@
 	return s
 }
 
-// eraRose records that the store went back to an older copy, as the store or a peer told.
+// eraRose records that the store went back to an older copy, as the store or a peer reported.
 // The record of this node may be gone then, so it is written again, at a random time, since
 // all nodes do so.
 func (s *storeSync) eraRose(after store.Era, source string) {
@@ -240,7 +240,7 @@
 	return nil
 }
 
-// knowsNoOthers reports whether the store lists no other node and none was heard, as
+// knowsNoOthers reports whether the store lists no other node and no message of one arrived, as
 // when the whole fleet starts for the first time. After a restart of all, the others are
 // listed although none answers yet.
 func (s *storeSync) knowsNoOthers() bool { return s.node.fleet.KnownNodes() == 1 }
@@ -379,7 +379,7 @@
 	if !u.Snapshot {
 		config := s.node.config.snapshot()
 		if config.holdsLostOrders() {
-			return // the next list tells which of them the store has again
+			return // the next list shows which of them the store has again
 		}
 		dataCentresOut = slices.Clone(config.dataCentresOut)
 	}
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -40,7 +40,7 @@
 // knows a peer with a configuration must get the text there, or all links and the store
 // are busy with it.
 func TestStartingNodeOfALargeFleetLeavesTheStoreToOthers(t *testing.T) {
-	for _, told := range []bool{true, false} {
+	for _, announced := range []bool{true, false} {
 		f := newTestFleet(t)
 		f.store.Put("config", "main", standin.ConfigForServices(3, "s"))
 		settings := f.add(quick).settings
@@ -59,15 +59,15 @@
 		for i := range largeFleet {
 			n.fleet.AddDiscovered(fleet.Discovered{Node: fmt.Sprint("n-", i), DatagramAddress: fmt.Sprintf("127.0.0.3:%d", 1+i)}, now)
 		}
-		if told {
-			n.configLag.heard(3, 0, now)
+		if announced {
+			n.configLag.received(3, 0, now)
 		}
 		close(n.store.listed)
 		if err := n.store.loadInitial(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		if read := n.config.snapshot().number() == 3; read == told {
-			t.Errorf("a peer has the configuration: %t, read the store: %t", told, read)
+		if read := n.config.snapshot().number() == 3; read == announced {
+			t.Errorf("a peer has the configuration: %t, read the store: %t", announced, read)
 		}
 	}
 }
--- a/gateway/storeera_test.go
+++ b/gateway/storeera_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// A peer may tell of a higher era before this node has a list of the data centres out of
+// A peer may report a higher era before this node has a list of the data centres out of
 // service. The record that it has written before is gone all the same.
 func TestEraThatAPeerTellsBeforeTheFirstListRewritesTheRecord(t *testing.T) {
 	f := newTestFleet(t)
@@ -86,7 +86,7 @@
 	n.store.eraRose(1, "store")
 	select {
 	case <-n.store.recordChanged:
-		t.Error("the first era that the store tells rewrites the record")
+		t.Error("the first era that the store states rewrites the record")
 	case <-time.After(100 * time.Millisecond):
 	}
 	n.store.eraRose(2, "n2")
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -120,7 +120,7 @@
 }
 
 // checkProbe checks a request for the route of one version of the configuration, if no
-// fault was active. configSent tells when each version was sent: the next one may be active
+// fault was active. configSent holds when each version was sent: the next one may be active
 // before its acknowledgement is recorded.
 func (r *Result) checkProbe(c *CallerRecord, configSent map[int]int64, faultsEndMillis int64) {
 	sent := c.EndMillis - c.DurationMillis
--- a/process/fleet/candidates.go
+++ b/process/fleet/candidates.go
@@ -87,7 +87,7 @@
 	defer t.mu.Unlock()
 	var targets gate.PeerTargets
 	for _, p := range t.peers {
-		if !p.StatusOnly && now.Sub(p.lastHeard()) >= window {
+		if !p.StatusOnly && now.Sub(p.lastReceived()) >= window {
 			continue
 		}
 		if p.Status.SlowWhenFull {
--- a/process/fleet/configholder.go
+++ b/process/fleet/configholder.go
@@ -21,7 +21,7 @@
 // that is above the given one. Peers in the given data centre are preferred. Pick, a
 // random number in [0, 1), chooses among them.
 //
-// All nodes hear of a new configuration at once, and a few holders can't serve them
+// All nodes learn of a new configuration at once, and a few holders can't serve them
 // all. So only a share of the nodes that want it may ask now, one for each holder on
 // average; for the others the result is false, and they call again after a while. That
 // share grows as the configuration spreads.
--- a/process/fleet/configholder_test.go
+++ b/process/fleet/configholder_test.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// Sixty nodes hear of a new configuration that one node has. If all asked it at once,
+// Sixty nodes learn of a new configuration that one node has. If all asked it at once,
 // the connections alone would keep a small VM busy for longer than a fetch may take.
 // About one may ask for each holder; in other data centres than its own about one for
 // the whole fleet.
--- a/process/fleet/dissemination_test.go
+++ b/process/fleet/dissemination_test.go
@@ -22,7 +22,7 @@
 	// whether no datagram passes between two nodes.
 	loss      float64
 	separated func(a, b int) bool
-	// fetches is set if a node that hears of a configuration has to fetch its text.
+	// fetches is set if a node that learns of a configuration has to fetch its text.
 	fetches bool
 	// datagrams counts what was sent.
 	datagrams  int
@@ -120,7 +120,7 @@
 	return count
 }
 
-// change activates a configuration at one node, which tells its peers.
+// change activates a configuration at one node, which informs its peers.
 func (f *simulatedFleet) change(i int, number uint64) {
 	f.status[i].ConfigNumber = number
 	f.send(i, OnChange)
@@ -147,7 +147,7 @@
 }
 
 // A new configuration must reach all nodes within the time in which it has to be
-// active, through peers that lose datagrams, although each node tells only its
+// active, through peers that lose datagrams, although each node informs only its
 // heartbeat peers. In each case a share of the nodes restarted just before.
 func TestConfigurationReachesAllNodes(t *testing.T) {
 	sizes := map[int][]float64{295: {0, 0.1}}
@@ -167,7 +167,7 @@
 				f.change(size/2, 7)
 				f.run(time.Second)
 				if behind := f.behind(7); behind > 0 {
-					t.Errorf("%d nodes have not heard of it after a second", behind)
+					t.Errorf("%d nodes have not received it after a second", behind)
 				}
 				if perNode := float64(f.datagrams-before) / float64(size); perNode > 500 {
 					t.Errorf("%v datagrams a node in this second", perNode)
@@ -193,7 +193,7 @@
 	f.separated = nil
 	f.run(2 * time.Second)
 	if behind := f.behind(3); behind > 0 {
-		t.Fatalf("%d nodes have not heard of it two seconds after the partition", behind)
+		t.Fatalf("%d nodes have not received it two seconds after the partition", behind)
 	}
 }
 
--- a/process/fleet/heartbeatpeers_test.go
+++ b/process/fleet/heartbeatpeers_test.go
@@ -34,7 +34,7 @@
 	return all
 }
 
-// tableOf returns the table of one node that has just heard all others, with its
+// tableOf returns the table of one node that has just received messages of all others, with its
 // heartbeat peers.
 func tableOf(all []Status, self int, now time.Time) *Table {
 	table := newTestTable()
@@ -150,8 +150,8 @@
 	}
 }
 
-// heard applies statuses of some nodes with a higher sequence.
-func heard(table *Table, all []Status, self int, now time.Time, answers func(i int) bool) {
+// receiveStatuses applies statuses of some nodes with a higher sequence.
+func receiveStatuses(table *Table, all []Status, self int, now time.Time, answers func(i int) bool) {
 	for i := range all {
 		if i != self && answers(i) {
 			all[i].Sequence++
@@ -166,7 +166,7 @@
 	now := from
 	for range 12 {
 		now = now.Add(500 * time.Millisecond)
-		heard(table, all, self, now, func(i int) bool {
+		receiveStatuses(table, all, self, now, func(i int) bool {
 			p, ok := table.Peer(all[i].Node)
 			return ok && !p.StatusOnly && answers(i)
 		})
@@ -212,7 +212,7 @@
 		return counts
 	}
 	now := start.Add(settleTime)
-	heard(table, all, 0, now, func(int) bool { return true })
+	receiveStatuses(table, all, 0, now, func(int) bool { return true })
 	table.SelectHeartbeatPeers(self, now)
 	after := remote()
 	for _, service := range []string{"view", "certify", "archive"} {
--- a/process/fleet/peertargets_test.go
+++ b/process/fleet/peertargets_test.go
@@ -13,7 +13,7 @@
 func TestSilentPeersKeepTheirShareOfTheRetryBudget(t *testing.T) {
 	table := NewTable(Settings{UnreachableAfter: 850 * time.Millisecond, ForgetAfter: time.Hour})
 	now := time.Unix(1_800_000_000, 0)
-	table.Merge(Status{Node: "heard", Service: "s", Incarnation: 1, Sequence: 1}, "a", now)
+	table.Merge(Status{Node: "received", Service: "s", Incarnation: 1, Sequence: 1}, "a", now)
 	table.AddDiscovered(Discovered{Node: "discovered", Service: "s", DatagramAddress: "b"}, now)
 	table.Merge(Status{Node: "other", Service: "u", Incarnation: 2, Sequence: 1}, "c", now)
 	for after, want := range map[time.Duration]int{0: 2, 2 * time.Second: 2, 9 * time.Second: 2, 11 * time.Second: 0} {
--- a/process/fleet/randompeers_test.go
+++ b/process/fleet/randompeers_test.go
@@ -9,7 +9,7 @@
 
 // Records that are forwarded to random peers must not go to peers that are silent, nor
 // to one of them twice.
-func TestRandomPeersAreDistinctAndHeard(t *testing.T) {
+func TestRandomPeersAreDistinctAndReceived(t *testing.T) {
 	table := NewTable(Settings{UnreachableAfter: time.Second, ForgetAfter: time.Hour})
 	now := time.Unix(1_800_000_000, 0)
 	for i := range 5 {
--- a/process/fleet/recipients.go
+++ b/process/fleet/recipients.go
@@ -70,7 +70,7 @@
 	case p.StatusOnly:
 		due = occasion == OnInterval && sinceStatus >= t.statusOnlyInterval
 		return due, due
-	case now.Sub(p.lastHeard()) >= silentAfter:
+	case now.Sub(p.lastReceived()) >= silentAfter:
 		due = occasion != OnLoadStep && sinceStatus >= statusInterval
 		return due, due
 	case occasion == OnChange, sinceStatus >= statusInterval:
@@ -94,9 +94,9 @@
 	return localHeartbeatGap
 }
 
-// lastHeard returns when the latest datagram or response of the peer arrived, or when
+// lastReceived returns when the latest datagram or response of the peer arrived, or when
 // it was added if there was none.
-func (p *Peer) lastHeard() time.Time {
+func (p *Peer) lastReceived() time.Time {
 	if p.ReceivedAt.IsZero() {
 		return p.LoadAt
 	}
--- a/process/fleet/recipients_test.go
+++ b/process/fleet/recipients_test.go
@@ -17,7 +17,7 @@
 	now := start
 	for range int(seconds * time.Second / interval) {
 		now = now.Add(interval)
-		heard(table, all, self, now, func(int) bool { return true })
+		receiveStatuses(table, all, self, now, func(int) bool { return true })
 		table.SelectHeartbeatPeers(selfOf(&all[self]), now)
 		for _, r := range table.Recipients(nil, OnInterval, time.Second, now) {
 			messages++
--- a/process/fleet/storewatch.go
+++ b/process/fleet/storewatch.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// markTTL is how long a relayed WatcherMark counts. A node hears of a watcher that
+	// markTTL is how long a relayed WatcherMark counts. A node learns of a watcher that
 	// is not among its heartbeat peers by several of them, each once a second.
 	markTTL = 2500 * time.Millisecond
 	// maxRelayedMarks bounds the marks of a status, and maxKeptMarks those that a node
@@ -18,22 +18,22 @@
 	maxKeptMarks    = 32
 )
 
-// WatcherMark tells which node may watch the platform's store. Nodes relay the marks
+// WatcherMark states which node may watch the platform's store. Nodes relay the marks
 // of the nodes with the lowest ranks in their statuses, so that all agree on the
 // active watchers although each exchanges heartbeats with a few others only.
 type WatcherMark struct {
 	// Rank is the watchRank of the node.
 	Rank uint64
-	// AgeMillis is the time since the node itself was heard, in milliseconds.
+	// AgeMillis is the time since a message of the node itself arrived, in milliseconds.
 	AgeMillis int
 	// Withdrawn is set if the node did not reach the store then.
 	Withdrawn bool
 }
 
-// relayedMark is a WatcherMark of which the node itself was heard at heardAt.
+// relayedMark is a WatcherMark of which a message of the node itself arrived at receivedAt.
 type relayedMark struct {
-	heardAt   time.Time
-	withdrawn bool
+	receivedAt time.Time
+	withdrawn  bool
 }
 
 // StoreWatchRole is the role of a node in watching the platform's store on behalf
@@ -55,13 +55,13 @@
 		if m.AgeMillis < 0 {
 			continue
 		}
-		heardAt := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
-		if known, ok := t.marks[m.Rank]; !ok || heardAt.After(known.heardAt) {
-			t.marks[m.Rank] = relayedMark{heardAt: heardAt, withdrawn: m.Withdrawn}
+		receivedAt := now.Add(-time.Duration(m.AgeMillis) * time.Millisecond)
+		if known, ok := t.marks[m.Rank]; !ok || receivedAt.After(known.receivedAt) {
+			t.marks[m.Rank] = relayedMark{receivedAt: receivedAt, withdrawn: m.Withdrawn}
 		}
 	}
 	for rank, m := range t.marks {
-		if now.Sub(m.heardAt) >= markTTL || len(t.marks) > maxKeptMarks {
+		if now.Sub(m.receivedAt) >= markTTL || len(t.marks) > maxKeptMarks {
 			delete(t.marks, rank)
 		}
 	}
@@ -101,7 +101,7 @@
 		}
 	}
 	for rank, m := range t.marks {
-		if age := now.Sub(m.heardAt); age < markTTL && !direct[rank] {
+		if age := now.Sub(m.receivedAt); age < markTTL && !direct[rank] {
 			ranked = append(ranked, WatcherMark{Rank: rank, AgeMillis: int(age.Milliseconds()), Withdrawn: m.withdrawn})
 		}
 	}
@@ -150,7 +150,7 @@
 }
 
 // KnownNodes returns the number of nodes that are known, this one included, whether or
-// not they have been heard.
+// not messages of them have arrived.
 func (t *Table) KnownNodes() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/process/fleet/transfers.go
+++ b/process/fleet/transfers.go
@@ -34,7 +34,7 @@
 
 // Begin counts a transfer and returns its ID for End, or false if as many as are
 // allowed have begun and not ended. The transfer counts at least for minDuration, since
-// a sender is told of its end when the last bytes are still in buffers.
+// a sender learns of its end when the last bytes are still in buffers.
 func (l *TransferLimiter) Begin(minDuration time.Duration, now time.Time) (id uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/process/fleet/transfers_test.go
+++ b/process/fleet/transfers_test.go
@@ -40,7 +40,7 @@
 }
 
 // The kernel takes the text of a configuration into its buffers at once, so the sender
-// is told of the end of each transfer before the link has carried it. The place has to
+// learns of the end of each transfer before the link has carried it. The place has to
 // stay taken for as long as the link needs.
 func TestTransferCountsWhileTheLinkCarriesIt(t *testing.T) {
 	const needed = 50 * time.Millisecond
--- a/process/hops/log_test.go
+++ b/process/hops/log_test.go
@@ -120,7 +120,7 @@
 	log.Begin("a")
 	log.Finish("a", log.Begin("a"), &response, len(response), start)
 	if entry, _ := log.Find("a", start); entry == nil || entry.Response() != nil {
-		t.Errorf("the response to the second arrival is told as that to the first: %+v", entry)
+		t.Errorf("the response to the second arrival is reported as that to the first: %+v", entry)
 	}
 	later := start.Add(2 * time.Second)
 	log.Expire(later)
--- a/process/platform/call.go
+++ b/process/platform/call.go
@@ -145,9 +145,9 @@
 
 // decode decodes the response to a call that was made when sent was the known era.
 func (c *Client) decode(request Call, sent Era, response HTTPResponse) (Result, error) {
-	told, err := c.dialect.Era(response.Header)
+	stated, err := c.dialect.Era(response.Header)
 	c.reportEraError(err)
-	era, before, err := c.eras.observe(told, sent)
+	era, before, err := c.eras.observe(stated, sent)
 	if err != nil {
 		c.reportEraError(err)
 		return Result{}, NewCallError(request, response.MayHaveRun(), err)
--- a/process/platform/client.go
+++ b/process/platform/client.go
@@ -59,7 +59,7 @@
 	// means that the counters are not exported.
 	Registry metrics.Registry
 	// OnEra, if set, is called after the era of the store has risen. The first era
-	// that the store tells rises from zero. It must not block.
+	// that the store states rises from zero. It must not block.
 	OnEra func(before, after Era)
 	// OnEraError, if set, is called with the error of a response whose era can't be
 	// read, is unconfirmed, or is lower than an earlier one. It must not block.
@@ -122,7 +122,7 @@
 	return &other
 }
 
-// Era returns the highest era of the store that a response has told, or zero if none
+// Era returns the highest era of the store that a response has stated, or zero if none
 // has.
 func (c *Client) Era() Era { return c.eras.known() }
 
--- a/process/platform/dialect.go
+++ b/process/platform/dialect.go
@@ -103,8 +103,8 @@
 // those that NewCallError returns. The versions in calls and results are revisions of
 // the store: the client adds and removes the era.
 type Dialect interface {
-	// Era returns the era of the store that a response tells. It is zero if the
-	// response does not tell it. It returns an error if the era can't be read.
+	// Era returns the era of the store that a response states. It is zero if the
+	// response does not state it. It returns an error if the era can't be read.
 	Era(header http.Header) (Era, error)
 	// Encode returns the HTTP request for a call.
 	Encode(c Call) (HTTPRequest, error)
@@ -136,7 +136,7 @@
 	return Era(era), nil
 }
 
-// HeaderEra is the header in which responses of the product's own object API tell the
+// HeaderEra is the header in which responses of the product's own object API state the
 // era of the store.
 const HeaderEra = "Vt-Store-Era"
 
--- a/process/platform/era.go
+++ b/process/platform/era.go
@@ -8,7 +8,7 @@
 
 // Era numbers the histories of the store. It rises when the store comes back from an
 // older copy: what was written since the copy is gone, and the store gives the
-// revisions since then out again. Zero means that the store does not tell its era.
+// revisions since then out again. Zero means that the store does not state its era.
 type Era uint64
 
 const (
@@ -31,9 +31,9 @@
 func VersionRevision(version uint64) uint64 { return version & MaxRevision }
 
 var (
-	// errLateResponse means that a response tells a lower era than an earlier one.
+	// errLateResponse means that a response states a lower era than an earlier one.
 	errLateResponse = errors.New("response of an earlier era of the store")
-	// errUnconfirmedEra means that a response tells an era that is higher than the
+	// errUnconfirmedEra means that a response states an era that is higher than the
 	// known one by more than one. It counts when another response confirms it.
 	errUnconfirmedEra = errors.New("unconfirmed era of the store")
 	// errEraRose means that the store went back while a write was in flight, so that
@@ -46,36 +46,36 @@
 type eraTracker struct {
 	mu      sync.Mutex
 	current Era
-	// candidate is a higher era that one response has told.
+	// candidate is a higher era that one response has stated.
 	candidate Era
 }
 
-// known returns the highest era that counts, or zero if no response told one.
+// known returns the highest era that counts, or zero if no response stated one.
 func (t *eraTracker) known() Era {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.current
 }
 
-// observe takes the era that a response told, or zero if it told none. sent is what
+// observe takes the era that a response stated, or zero if it stated none. sent is what
 // known returned when the call was made. It returns the era as of which the response
 // holds, and the known era before it, which is lower if the response raised it. The
 // error is errLateResponse or errUnconfirmedEra if the response must not be used.
-func (t *eraTracker) observe(told, sent Era) (era, before Era, err error) {
+func (t *eraTracker) observe(stated, sent Era) (era, before Era, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if told == 0 {
-		told = sent
+	if stated == 0 {
+		stated = sent
 	}
 	before = t.current
 	switch {
-	case told < before:
-		return told, before, errLateResponse
-	case before > 0 && told > before+1 && told != t.candidate:
-		t.candidate = told
-		return told, before, errUnconfirmedEra
-	case told > before:
-		t.current, t.candidate = told, 0
+	case stated < before:
+		return stated, before, errLateResponse
+	case before > 0 && stated > before+1 && stated != t.candidate:
+		t.candidate = stated
+		return stated, before, errUnconfirmedEra
+	case stated > before:
+		t.current, t.candidate = stated, 0
 	}
-	return told, before, nil
+	return stated, before, nil
 }
--- a/process/platform/era_test.go
+++ b/process/platform/era_test.go
@@ -15,7 +15,7 @@
 )
 
 // Versions of a later era must be higher whatever their revision, and those of a store
-// that tells no era must be its revisions, as nodes of the last release have them.
+// that states no era must be its revisions, as nodes of the last release have them.
 func TestVersionsAreOrderedByEra(t *testing.T) {
 	if NewVersion(0, 77) != 77 {
 		t.Fatal("a revision without an era changes")
@@ -41,8 +41,8 @@
 func TestEraNeverFallsAndNeedsConfirmationToJump(t *testing.T) {
 	var tracker eraTracker
 	steps := []struct {
-		told, sent, known Era
-		err               error
+		stated, sent, known Era
+		err                 error
 	}{
 		{0, 0, 0, nil},
 		{4, 0, 4, nil},
@@ -57,7 +57,7 @@
 		{9, 8, 9, nil},
 	}
 	for i, s := range steps {
-		_, _, err := tracker.observe(s.told, s.sent)
+		_, _, err := tracker.observe(s.stated, s.sent)
 		if err != s.err || tracker.known() != s.known {
 			t.Fatalf("step %d: known %d, %v", i, tracker.known(), err)
 		}
