--- a/review/kit/coldturn.go
+++ b/review/kit/coldturn.go
@@ -40,13 +40,24 @@
 	time.Sleep(6 * time.Second)
 	var spans []coldSpan
 	for range coldRounds {
-		for _, t := range targets {
+		for i, t := range targets {
 			time.Sleep(time.Duration(rand.Float64() * 1.5 * float64(time.Second)))
-			if e.trouble && !t.hasEnded() {
+			if e.trouble {
 				spans = append(spans, coldSpan{target: t, from: t.turnCold(coldStart)})
 				e.record.line("server %s turns cold for %v, without a restart", t.id, coldStart)
 			}
 			time.Sleep(coldStart + 1500*time.Millisecond)
+			if !t.hasEnded() {
+				continue
+			}
+			if targets[i], err = e.startTarget(t.node, t.id+"-again", func(t *target) {
+				t.coldPerS, t.crashFactor = coldPerS, 3
+				t.coldUntil = time.Now().Add(coldStart)
+			}); err != nil {
+				return false, err
+			}
+			e.record.line("server %s starts after the crash of %s, cold", targets[i].id, t.id)
+			time.Sleep(coldStart + time.Second)
 		}
 	}
 	close(stop)
