Review case 3: run times vary as the site's do

With fixed run times the slower runs of a cold server left a gap without responses, in which a health check was made.

--- a/review/kit/coldturn.go
+++ b/review/kit/coldturn.go
@@ -10,6 +10,8 @@
 	coldFactor = 1.5
 	coldSlack  = 5.0
 	coldStart  = 3 * time.Second
+	// runTimeSpread is the spread of the site's requests.
+	runTimeSpread = 0.3
 )
 
 // coldRounds is how often each target turns cold.
@@ -24,7 +26,7 @@
 // runColdTurn checks FAILBACK while targets turn cold in place, one after the other, each
 // at random moments.
 func runColdTurn(e *env) (bool, error) {
-	targets, err := e.deploy(3, "certify", func(_ int, t *target) { t.coldPerS, t.crashFactor = coldPerS, 3 })
+	targets, err := e.deploy(3, "certify", func(_ int, t *target) { t.coldPerS, t.crashFactor, t.spread = coldPerS, 3, runTimeSpread })
 	if err != nil {
 		return false, err
 	}
@@ -51,7 +53,7 @@
 				continue
 			}
 			if targets[i], err = e.startTarget(t.node, t.id+"-again", func(t *target) {
-				t.coldPerS, t.crashFactor = coldPerS, 3
+				t.coldPerS, t.crashFactor, t.spread = coldPerS, 3, runTimeSpread
 				t.coldUntil = time.Now().Add(coldStart)
 			}); err != nil {
 				return false, err
--- a/review/kit/target.go
+++ b/review/kit/target.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,6 +24,8 @@
 	born  int64
 	slots int
 	work  time.Duration
+	// spread is the spread of the run times, the standard deviation of their logarithm.
+	spread float64
 	// beatEvery is the time between two reports.
 	beatEvery time.Duration
 	// coldPerS is the rate that it tolerates while cold. It crashes in a second with more
@@ -243,7 +247,7 @@
 		<-t.free
 	}()
 	t.env.record.line("server %s runs %s", t.id, id)
-	work := t.work
+	work := time.Duration(float64(t.work) * math.Exp(t.spread*rand.NormFloat64()))
 	t.mu.Lock()
 	if time.Now().Before(t.coldUntil) {
 		work *= 2
