--- a/review/kit/secondanswer.go
+++ b/review/kit/secondanswer.go
@@ -8,19 +8,31 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// shedShare is the share of requests that the servers reject, and extraShare the share
 	// of these rejections that are sent a second time.
-	shedShare  = 0.2
+	shedShare  = 0.3
 	extraShare = 0.03
 	// extraAfterMin and extraAfterMax bound the delay of a second answer.
 	extraAfterMin = 10 * time.Millisecond
 	extraAfterMax = 100 * time.Millisecond
 )
 
+const (
+	// The disruption lasts disruptedFor and comes disruptions times, pausedFor apart.
+	disruptedFor = 5 * time.Second
+	pausedFor    = 2 * time.Second
+	disruptions  = 8
+	// sheddingServers is the number of servers, and extraServers that of those which send
+	// answers twice, a share of 0.6.
+	sheddingServers = 5
+	extraServers    = 3
+)
+
 // shedAnswer is the answer of a server that sheds, as the sheet of the wire shows it.
 const shedAnswer = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -29,21 +41,23 @@
 type sheddingTarget struct {
 	*target
 	extra bool
-	mu    sync.Mutex
-	runs  map[string]int
+	// disrupted is set while the disruption lasts.
+	disrupted atomic.Bool
+	mu        sync.Mutex
+	runs      map[string]int
 }
 
 // runSecondAnswer checks TWICE and REFUSED at servers that reject part of their requests and
 // send some of these answers a second time, late.
 func runSecondAnswer(e *env) (bool, error) {
-	targets, err := e.deploy(3, "certify", func(int, *target) {})
+	targets, err := e.deploy(sheddingServers, "certify", func(int, *target) {})
 	if err != nil {
 		return false, err
 	}
 	var shedding []*sheddingTarget
-	for _, t := range targets {
+	for i, t := range targets {
 		_ = t.server.Close()
-		s := &sheddingTarget{target: t, extra: e.trouble, runs: make(map[string]int)}
+		s := &sheddingTarget{target: t, extra: e.trouble && i < extraServers, runs: make(map[string]int)}
 		l, err := net.Listen("tcp4", t.node.target)
 		if err != nil {
 			return false, err
@@ -54,14 +68,22 @@
 	stop := make(chan struct{})
 	go e.checkReadiness(stop)
 	time.Sleep(5 * time.Second)
-	c := newCallers(e, 240)
+	c := newCallers(e, 300)
 	c.writes = 0.5
 	done := make(chan struct{})
 	go func() {
 		c.run(stop)
 		close(done)
 	}()
-	time.Sleep(40 * time.Second)
+	for range disruptions {
+		for _, disrupted := range []bool{true, false} {
+			for _, s := range shedding {
+				s.disrupted.Store(disrupted)
+			}
+			e.record.line("servers reject part of their requests: %v", disrupted)
+			time.Sleep(map[bool]time.Duration{true: disruptedFor, false: pausedFor}[disrupted])
+		}
+	}
 	close(stop)
 	<-done
 	time.Sleep(300 * time.Millisecond)
@@ -133,7 +155,7 @@
 			err = send(fmt.Sprintf("HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", s.id, s.loadNow()))
 		case expected != "" && expected != s.id:
 			err = send(fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id))
-		case rand.Float64() < shedShare:
+		case s.disrupted.Load() && rand.Float64() < shedShare:
 			s.env.record.line("server %s rejects %s", s.id, id)
 			err = send(shedAnswer)
 			if s.extra && rand.Float64() < extraShare {
