Read the store soon after an outage, whatever the size of the fleet

Evacuations after short outages were late in the same way.

Cause: while no node reached the store, each waited for 0.6 s times the number of nodes before its next poll. The nodes lose the store one after the other within two seconds, so these waits leave a gap of seconds on 13 nodes, and of minutes on 1,343.

Evidence: dependency_back now tells the failed calls and the time since the latest one. Ruled out: calls that failed after the return.

Fix: the first three nodes by hash (five in large fleets) probe every 0.6 s if they do not reach the store. The others wait for exponentially distributed times, which leave no gap. Waits follow the role of the node as it changes. Marks of nodes that do not reach the store no longer crowd out those of the active watchers.

TestAllNodesTryWhileNoneReachesTheStore and TestFewNodesWatchTheStore required that all nodes take turns during an outage, which was the fault. They now require that exactly the first nodes probe, that no other does, and the interval of the others.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -69,6 +69,19 @@
 	return err.Error()
 }
 
+// storeBack logs that a call to the store succeeded after failed ones, or for the first
+// time.
+func (e *eventLog) storeBack(outage endedOutage) {
+	e.journal.Log(journal.Change, "dependency_back", "dependency", "store", "failed_calls", outage.failures,
+		"lost_ms", outage.duration.Milliseconds(), "since_failure_ms", outage.sinceFailure.Milliseconds())
+}
+
+// storeRole logs a change of the role of this node in watching the store.
+func (e *eventLog) storeRole(role fleet.StoreWatchRole, nodes int) {
+	e.journal.Log(journal.Change, "store_role", "reaches", role.Reaches, "active", role.Active, "probing", role.Probing,
+		"watchers", role.Watchers, "nodes", nodes)
+}
+
 // noRoute logs and counts a request that matches no route of the active
 // configuration. Newest is the highest number of a configuration that the node has
 // received.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -72,10 +72,12 @@
 }
 
 // StoreState is the state of the store: whether the latest call succeeded, whether
-// this node watches it for the fleet, and the number of calls since the start.
+// this node watches it for the fleet or probes whether it is back, and the number of
+// calls since the start.
 type StoreState struct {
 	Reachable bool  `json:"reachable"`
 	Watching  bool  `json:"watching"`
+	Probing   bool  `json:"probing"`
 	Watchers  int   `json:"watchers"`
 	Calls     int64 `json:"calls"`
 	// Era is the highest era of the store that the node knows.
@@ -95,7 +97,7 @@
 		Config:          config.state(now),
 		Peers:           n.fleet.Summary(config.number(), now),
 		Messages:        n.metrics.messageState(uptime),
-		Store:           StoreState{Reachable: n.store.reachable.Load(), Watching: role.Active, Watchers: role.Watchers, Calls: n.metrics.storeCalls(), Era: n.store.era.Load()},
+		Store:           StoreState{Reachable: n.store.reachable.Load(), Watching: role.Active, Probing: role.Probing, Watchers: role.Watchers, Calls: n.metrics.storeCalls(), Era: n.store.era.Load()},
 		PendingRequests: n.callerServer.Pending() + n.hopServer.Pending(),
 	}
 }
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -38,15 +38,6 @@
 	// watchTimeout is the mean time for which the store may hold one watch call
 	// open. Polls find the changes that a watch fails to report.
 	watchTimeout = 25 * time.Second
-	// activePollInterval is the interval at which the active watchers together
-	// poll the store. They poll because a watch may not report a change.
-	activePollInterval = 600 * time.Millisecond
-	// standbyPollInterval is the mean interval of polls by a standby node, or
-	// standbyPollIntervalPerNode for each node of the fleet if that is longer, so that
-	// the polls of all do not grow with the fleet. They show whether the node reaches
-	// the store.
-	standbyPollInterval        = 20 * time.Second
-	standbyPollIntervalPerNode = 1500 * time.Millisecond
 	// maxActiveWatchers is the number of nodes that watch the store for the
 	// fleet. The other nodes learn of changes from them. With three, the loss
 	// of any two at once delays no change. In a fleet of largeFleet nodes or more,
@@ -114,9 +105,9 @@
 	// reachable is what recordCallResult recorded last. It is false before the
 	// first result.
 	reachable atomic.Bool
-	// lost is set while the latest call failed. regained receives a value when a call
-	// succeeds after that.
-	lost     atomic.Bool
+	// outage counts the failed calls since the latest successful one. regained receives a
+	// value when a call succeeds after failed ones.
+	outage   storeOutage
 	regained chan struct{}
 	// configVersion is the version of the object that was last applied as the
 	// configuration.
@@ -124,8 +115,10 @@
 	// configRevision is the latest revision of the store at which the configuration
 	// was read.
 	configRevision atomic.Uint64
-	// verifiedAt is when the configuration was last read. Only poll uses it.
-	verifiedAt time.Time
+	// polledAt is when the latest poll began, and verifiedAt when the configuration was
+	// last read. loggedRole is the role that was last logged. Only pollConfig uses them.
+	polledAt, verifiedAt time.Time
+	loggedRole           fleet.StoreWatchRole
 	// listed is closed by firstList after the first list of the nodes, also if it
 	// failed.
 	listed    chan struct{}
@@ -282,7 +275,8 @@
 // changes.
 func (s *storeSync) recordCallResult(err error) {
 	reachable := err == nil || errors.Is(err, store.ErrCompacted)
-	if s.lost.Swap(!reachable) && reachable {
+	ended := s.outage.record(reachable, time.Now())
+	if ended.failures > 0 {
 		select {
 		case s.regained <- struct{}{}:
 		default:
@@ -292,7 +286,7 @@
 		return
 	}
 	if reachable {
-		s.node.events.log(journal.Change, "dependency_back", "dependency", "store")
+		s.node.events.storeBack(ended)
 		return
 	}
 	s.node.events.log(journal.Change, "dependency_lost", "dependency", "store", "err", err)
--- a/gateway/storepoll.go
+++ b/gateway/storepoll.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
-	"verbenatrestle/internal/wait"
 	"verbenatrestle/platform"
+	"verbenatrestle/process/fleet"
 	store "verbenatrestle/process/platform"
 )
 
@@ -18,40 +18,35 @@
 	if err := s.loadInitial(ctx); err != nil {
 		s.recordCallResult(err)
 	}
-	s.waitForPoll(ctx, firstPollDelay+rand.N(firstPollDelay))
+	_, _ = s.waitForReturn(ctx, firstPollDelay+rand.N(firstPollDelay)) // the loop notices the end of the context
 	for s.waitForNextPoll(ctx) {
-		err := s.poll(ctx)
-		s.recordCallResult(err)
-		if err == nil {
-			s.takeRegained()
-		}
+		s.polledAt = time.Now()
+		s.recordCallResult(s.poll(ctx))
+		s.takeRegained() // this poll was the one that follows
 	}
 }
 
-// waitForPoll waits for the given time, or until the store is reachable again after a
-// failure. The others stop polling when they learn of that. It returns false if the
-// context ends first.
-func (s *storeSync) waitForPoll(ctx context.Context, longest time.Duration) bool {
+// waitForReturn waits for the given time, or until the store is reachable again after a
+// failure, which it reports. The others stop polling when they learn of that. It returns
+// the error of the context if that ends first.
+func (s *storeSync) waitForReturn(ctx context.Context, longest time.Duration) (regained bool, err error) {
 	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		return false, nil
 	case <-s.regained:
-		return true
+		return true, nil
 	case <-ctx.Done():
-		return false
+		return false, ctx.Err()
 	}
 }
 
-// takeRegained drops a pending value of regained, if there is one, and reports whether
-// there was.
-func (s *storeSync) takeRegained() bool {
+// takeRegained drops a pending value of regained, if there is one.
+func (s *storeSync) takeRegained() {
 	select {
 	case <-s.regained:
-		return true
 	default:
-		return false
 	}
 }
 
@@ -63,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	s.recordCallResult(nil) // the role of this node depends on it
 	if s.node.config.snapshot().routes == nil {
 		return s.verifyConfig(ctx, revision)
 	}
@@ -111,23 +107,31 @@
 	}
 }
 
-// waitForNextPoll waits until the next poll of this node. A standby node that
-// becomes active polls at once. It returns false when the context ends.
+// waitForNextPoll waits until the next poll of this node, which its role decides. It
+// returns false when the context ends.
 func (s *storeSync) waitForNextPoll(ctx context.Context) bool {
-	role := s.watchRole()
-	if role.Active {
-		mean := activePollInterval * time.Duration(role.Watchers)
-		return s.waitForPoll(ctx, time.Duration(float64(mean)*(0.75+rand.Float64()/2)))
-	}
-	mean := max(standbyPollInterval, standbyPollIntervalPerNode*time.Duration(s.node.fleet.NodeCount(time.Now())))
-	until := time.Now().Add(time.Duration(rand.ExpFloat64() * float64(mean)))
-	for time.Now().Before(until) && !s.watchRole().Active {
-		if s.takeRegained() {
-			return true
+	schedule := fleet.NewStorePollSchedule(s.watchRole(), rand.Float64())
+	last := s.polledAt
+	for {
+		now := time.Now()
+		if last.IsZero() {
+			last = now
 		}
-		if !wait.For(ctx, roleCheckInterval) {
+		role, nodes := s.watchRole(), s.node.fleet.NodeCount(now)
+		if role != s.loggedRole {
+			s.loggedRole = role
+			s.node.events.storeRole(role, nodes)
+		}
+		due, remaining := schedule.Advance(role, nodes, now.Sub(last))
+		if due {
+			return ctx.Err() == nil
+		}
+		last = now
+		switch regained, err := s.waitForReturn(ctx, min(remaining, roleCheckInterval)); {
+		case err != nil:
 			return false
+		case regained:
+			return true
 		}
 	}
-	return ctx.Err() == nil
 }
--- a/gateway/storepoll_test.go
+++ b/gateway/storepoll_test.go
@@ -89,7 +89,7 @@
 	n := pollingNode(t, f)
 	n.store.recordCallResult(errors.New("no response"))
 	n.store.recordCallResult(nil)
-	ctx, cancel := context.WithTimeout(t.Context(), activePollInterval/2)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	if !n.store.waitForNextPoll(ctx) {
 		t.Error("no poll follows")
@@ -195,3 +195,52 @@
 		t.Errorf("the change became active after %v, want at most %v", took, silenceSettleTime)
 	}
 }
+
+// All nodes lose the store within two seconds, since each becomes an active watcher when
+// the ones before it have failed. They then waited for a time that grows with their number,
+// so a configuration and an order that were written after the outage were in force too late.
+func TestChangesAreInForceInTimeAfterAnOutage(t *testing.T) {
+	for name, outage := range map[string]struct {
+		faults standin.Faults
+		// longer is how much longer the outage lasts than all nodes need to notice it.
+		longer time.Duration
+	}{
+		"refused": {standin.Faults{Down: true}, time.Second},
+		"silent":  {standin.Faults{Unresponsive: true}, 2500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+			for range 13 {
+				f.add(quick)
+			}
+			f.settled(1)
+			eventually(t, "watches of all active watchers", func() bool { return f.store.Watches() >= 2*maxActiveWatchers })
+			f.store.SetFaults(outage.faults)
+			for _, n := range f.nodes {
+				eventually(t, "the node notices the outage", func() bool { return !n.store.reachable.Load() })
+			}
+			time.Sleep(outage.longer)
+			f.store.SetFaults(standin.Faults{})
+			returned := time.Now()
+			time.Sleep(200 * time.Millisecond)
+			f.store.Put("config", "main", standin.ConfigForServices(2, "s"))
+			f.store.Put("evacuations", "z2", []byte("{}"))
+			for _, n := range f.nodes {
+				eventually(t, "the configuration and the order are in force", func() bool {
+					s := n.config.snapshot()
+					return s.number() == 2 && s.isOutOfService("z2")
+				})
+			}
+			took := time.Since(returned)
+			t.Logf("in force %v after the return of the store", took)
+			if took > outageSettleTime {
+				t.Errorf("in force %v after the return of the store, want at most %v", took, outageSettleTime)
+			}
+		})
+	}
+}
+
+// outageSettleTime is how long after the return of the store nodes may take to have changes
+// in force as usual. The users of the platform set this limit.
+const outageSettleTime = 3 * time.Second
--- a/process/fleet/dissemination_test.go
+++ b/process/fleet/dissemination_test.go
@@ -237,14 +237,26 @@
 	}
 }
 
-// While no node reaches the store, all take turns to try.
+// While no node reaches the store, all try: the first five at short intervals, and the
+// others together about as often as the active watchers.
 func TestAllNodesTryWhileNoneReachesTheStore(t *testing.T) {
 	f := newSimulatedFleet(295, 4)
 	f.run(2 * time.Second)
+	probing := 0
 	for i := range f.tables {
 		role := f.tables[i].StoreWatchRole(f.status[i].Node, false, 5, f.now)
-		if !role.Active || role.Watchers < 280 {
-			t.Fatalf("node %d: %+v", i, role)
+		mean, _ := role.pollInterval(f.tables[i].NodeCount(f.now))
+		want := time.Duration(0)
+		if role.Probing {
+			probing++
+		} else {
+			want = 280 * lostPollInterval
 		}
+		if role.Active || role.Watchers != 0 || mean < want || mean > max(want, probeInterval)*11/10 {
+			t.Fatalf("node %d: %+v polls every %v", i, role, mean)
+		}
+	}
+	if probing != 5 {
+		t.Fatalf("%d nodes are probing", probing)
 	}
 }
--- a/process/fleet/storewatch.go
+++ b/process/fleet/storewatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,8 +14,9 @@
 	// is not among its heartbeat peers by several of them, each once a second.
 	markTTL = 2500 * time.Millisecond
 	// maxRelayedMarks bounds the marks of a status, and maxKeptMarks those that a node
-	// keeps.
-	maxRelayedMarks = 8
+	// keeps. A status has room for all active watchers of a large fleet, and for more
+	// nodes that do not reach the store than there are probing ones.
+	maxRelayedMarks = 12
 	maxKeptMarks    = 32
 )
 
@@ -39,9 +41,15 @@
 // StoreWatchRole is the role of a node in watching the platform's store on behalf
 // of the fleet.
 type StoreWatchRole struct {
+	// Reaches is set if the latest call of the node to the store succeeded.
+	Reaches bool
 	// Active is set if the node is one of those that read the store for the fleet.
 	Active bool
-	// Watchers is the number of nodes that share the reads.
+	// Probing is set if the node does not reach the store and is one of those that
+	// try at short intervals whether they do.
+	Probing bool
+	// Watchers is the number of nodes that share the reads. It is zero if no node is
+	// known to reach the store.
 	Watchers int
 }
 
@@ -60,27 +68,34 @@
 			t.marks[m.Rank] = relayedMark{receivedAt: receivedAt, withdrawn: m.Withdrawn}
 		}
 	}
-	for rank, m := range t.marks {
-		if now.Sub(m.receivedAt) >= markTTL || len(t.marks) > maxKeptMarks {
+	maps.DeleteFunc(t.marks, func(_ uint64, m relayedMark) bool { return now.Sub(m.receivedAt) >= markTTL })
+	if excess := len(t.marks) - maxKeptMarks; excess > 0 {
+		ranks := slices.Sorted(maps.Keys(t.marks))
+		for _, rank := range ranks[len(ranks)-excess:] {
 			delete(t.marks, rank)
 		}
 	}
 }
 
 // WatcherMarks returns the marks for the next status of this node, given by its name
-// and whether it reaches the store: those of the active watchers, and of nodes with
-// lower ranks that do not reach the store.
+// and whether it reaches the store: those of the active watchers, and of the first nodes
+// with lower ranks that do not reach the store. However many these are, they leave room
+// for the active ones.
 func (t *Table) WatcherMarks(name string, reachesStore bool, maxWatchers int, now time.Time) []WatcherMark {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var kept []WatcherMark
-	active := 0
+	active, withdrawn := 0, 0
 	for _, m := range t.rankedMarks(name, reachesStore, now) {
-		if active == maxWatchers || len(kept) == maxRelayedMarks {
-			break
-		}
-		if !m.Withdrawn {
+		switch {
+		case active == maxWatchers:
+			return kept
+		case !m.Withdrawn:
 			active++
+		case withdrawn == maxRelayedMarks-maxWatchers:
+			continue
+		default:
+			withdrawn++
 		}
 		kept = append(kept, m)
 	}
@@ -111,29 +126,32 @@
 
 // StoreWatchRole returns the role of this node, given by its name and whether it
 // reaches the store itself. Of the nodes that reach the store, the first ones by
-// watchRank are active, at most maxWatchers. If no node is known to reach it, all
-// nodes are active and take turns to try.
+// watchRank are active, at most maxWatchers. Of all nodes, the first ones are probing if
+// they do not reach the store, also while others are taken to reach it: a standby node
+// learns only by a poll of its own that it does not.
 func (t *Table) StoreWatchRole(name string, reachesStore bool, maxWatchers int, now time.Time) StoreWatchRole {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reaching, before := 0, 0
+	reaching, before, reachingBefore := 0, 0, 0
 	rank := watchRank(name)
 	for _, m := range t.rankedMarks(name, reachesStore, now) {
+		if m.Rank < rank {
+			before++
+		}
 		if m.Withdrawn {
 			continue
 		}
 		reaching++
 		if m.Rank < rank {
-			before++
+			reachingBefore++
 		}
 	}
-	switch {
-	case reachesStore:
-		return StoreWatchRole{Active: before < maxWatchers, Watchers: min(reaching, maxWatchers)}
-	case reaching == 0:
-		return StoreWatchRole{Active: true, Watchers: t.nodeCount(now)}
+	return StoreWatchRole{
+		Reaches:  reachesStore,
+		Active:   reachesStore && reachingBefore < maxWatchers,
+		Probing:  !reachesStore && before < maxWatchers,
+		Watchers: min(reaching, maxWatchers),
 	}
-	return StoreWatchRole{Watchers: min(reaching, maxWatchers)}
 }
 
 // nodeCount returns the number of nodes that are taken to run, this one included:
--- a/process/fleet/table_test.go
+++ b/process/fleet/table_test.go
@@ -173,7 +173,8 @@
 }
 
 // Whatever the number of nodes, and whichever of them reach the store, a few of them
-// are active. Without partitions all nodes agree on which.
+// are active, and the first few probe if they do not reach it. Without partitions all
+// nodes agree on which.
 func TestFewNodesWatchTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 40).Draw(t, "nodes")
@@ -185,7 +186,7 @@
 				reaching++
 			}
 		}
-		active := 0
+		active, probing := 0, 0
 		for i := range count {
 			table := newTestTable()
 			for j := range count {
@@ -196,19 +197,25 @@
 				}
 			}
 			role := table.StoreWatchRole(fmt.Sprintf("n%02d", i), reaches[i], 3, start)
+			if role.Reaches != reaches[i] || role.Active && role.Probing {
+				t.Fatalf("node %d reaches the store: %t, role %+v", i, reaches[i], role)
+			}
 			if role.Active {
 				active++
 			}
-			if want := min(3, reaching); reaching > 0 && role.Watchers != want {
-				t.Fatalf("%d watchers, want %d", role.Watchers, want)
+			if role.Probing {
+				probing++
 			}
-			if reaching == 0 && role.Watchers != count {
-				t.Fatalf("%d watchers in an outage, want all %d", role.Watchers, count)
+			if want := min(3, reaching); role.Watchers != want {
+				t.Fatalf("%d watchers, want %d", role.Watchers, want)
 			}
 		}
-		if want := min(3, reaching); reaching > 0 && active != want || reaching == 0 && active != count {
+		if want := min(3, reaching); active != want {
 			t.Fatalf("%d are active of %d that reach the store and %d in all", active, reaching, count)
 		}
+		if want := min(3, count); reaching == 0 && probing != want || probing > want {
+			t.Fatalf("%d are probing of %d, %d of which reach the store", probing, count, reaching)
+		}
 	})
 }
 
