Keep departures of targets beyond the process that acknowledged them

A report that the target had sent before arrived late, and 122 requests reached the target until it exited.

Cause: the gate kept deregistrations and the draining state in memory alone, and a new process accepts any first report. A report does not show when it was sent. Evidence: without the kill the same late report is ignored.

Fix: a departure is acknowledged once the store holds it, or two peers do if the store does not answer within 300 ms. With neither the answer is 503; the target gets nothing new in any case. A node that starts reads its departures, not stale, before it applies a report, and peers send what they hold for it. Targets that drain, that name it in a response, or that a later process replaced are kept in the same way. A full list drops its oldest entry, no longer all of them.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -15,6 +15,7 @@
 
 	"verbenatrestle/internal/metricstext"
 	"verbenatrestle/platform"
+	"verbenatrestle/process/departure"
 	"verbenatrestle/process/journal"
 )
 
@@ -62,6 +63,21 @@
 		return
 	}
 	n.localTarget.applyReport(report)
+	if report.Draining {
+		n.acknowledgeDeparture(w, r, departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis})
+		return
+	}
+	writeEmpty(w)
+}
+
+// acknowledgeDeparture answers a target that leaves, as soon as its departure outlasts this
+// process. It answers 503 if that can't be achieved now. The target gets no new requests
+// in either case.
+func (n *Node) acknowledgeDeparture(w http.ResponseWriter, r *http.Request, d departure.Departure) {
+	if err := n.departures.keep(r.Context(), d); err != nil {
+		writeError(w, http.StatusServiceUnavailable, err)
+		return
+	}
 	writeEmpty(w)
 }
 
@@ -85,8 +101,15 @@
 	if !ok {
 		startedMillis = time.Now().UnixMilli()
 	}
-	n.localTarget.deregister(r.PathValue("id"), startedMillis)
-	writeEmpty(w)
+	id := r.PathValue("id")
+	if len(id) > maxNameBytes {
+		err := errors.Errorf("instance must not have more than %d bytes", maxNameBytes)
+		n.events.badMessage("deregistration", r.RemoteAddr, err)
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	n.localTarget.deregister(id, startedMillis)
+	n.acknowledgeDeparture(w, r, departure.Departure{Instance: id, StartedMillis: startedMillis})
 }
 
 // writeEmpty answers with an empty JSON object.
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenatrestle/connection/pipeline"
+	"verbenatrestle/process/departure"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
 	"verbenatrestle/process/journal"
@@ -82,6 +83,24 @@
 		"watchers", role.Watchers, "nodes", nodes)
 }
 
+// departureKept logs that a departure of the local target outlasts this process.
+func (e *eventLog) departureKept(d departure.Departure, stored bool, peers int, took time.Duration) {
+	e.journal.Log(journal.Change, "departure_kept", "instance", d.Instance, "born", d.StartedMillis, "stored", stored, "peers", peers, "took_ms", took.Milliseconds())
+}
+
+// departureNotKept logs and counts a departure that was not acknowledged, since this process
+// alone knows it.
+func (e *eventLog) departureNotKept(d departure.Departure, peers int, took time.Duration) {
+	e.metrics.departuresNotKept.Inc(1)
+	e.journal.Log(journal.Change, "departure_not_kept", "instance", d.Instance, "born", d.StartedMillis, "peers", peers, "took_ms", took.Milliseconds())
+}
+
+// departuresRestored logs departures that an earlier process of this node recorded, and
+// whether the target stopped accepting requests by that.
+func (e *eventLog) departuresRestored(list departure.List, source string, stopped bool) {
+	e.journal.Log(journal.Change, "departures_restored", "source", source, "departures", list, "stopped", stopped)
+}
+
 // noRoute logs and counts a request that matches no route of the active
 // configuration. Newest is the highest number of a configuration that the node has
 // received.
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -14,7 +14,6 @@
 	"verbenatrestle/platform"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/gate"
-	"verbenatrestle/process/journal"
 	"verbenatrestle/request"
 	"verbenatrestle/version"
 )
@@ -60,6 +59,9 @@
 	// namedLimit is the request limit that the target named last, in requests a second.
 	// Zero means none.
 	namedLimit float64
+	// waitingReport is the latest report that arrived before the departures of earlier
+	// processes of the target were known, or nil.
+	waitingReport *gate.Report
 }
 
 // newLocalTarget returns a localTarget whose target is unknown until it
@@ -253,32 +255,6 @@
 	}
 }
 
-// applyReport applies a status report of the target, unless a newer one is
-// known.
-func (t *localTarget) applyReport(report gate.Report) {
-	now := time.Now()
-	t.mu.Lock()
-	before := t.gate.State(now)
-	accepted := t.gate.ApplyReport(report, now)
-	after := t.gate.State(now)
-	crash := t.gate.TakeCrash()
-	if accepted && (t.pool == nil || t.pool.Address() != report.Address || before.Instance != after.Instance) {
-		t.replacePool(report.Address)
-	}
-	t.mu.Unlock()
-	t.node.crashes.recordCrash(crash)
-	if !accepted {
-		t.node.events.reportIgnored(report, "older than what is known")
-		return
-	}
-	t.configure(t.node.config.snapshot())
-	changed := before.Instance != after.Instance || before.Accepting != after.Accepting
-	if changed {
-		t.node.events.targetChanged(report, before, after)
-		t.node.peers.requestBroadcast()
-	}
-}
-
 // replacePool replaces the connection pool. Connections of the old pool are
 // closed when their requests end. The caller holds the lock.
 func (t *localTarget) replacePool(address string) {
@@ -305,17 +281,6 @@
 	return max(1, service.MaxConnections-spareConnections)
 }
 
-// deregister records that an instance of the target leaves for good.
-// StartedMillis is the start of its process in Unix milliseconds.
-func (t *localTarget) deregister(instance string, startedMillis int64) {
-	now := time.Now()
-	t.mu.Lock()
-	t.gate.Deregister(instance, startedMillis, now)
-	t.mu.Unlock()
-	t.node.events.log(journal.Change, "target_left", "instance", instance, "born", startedMillis)
-	t.node.peers.requestBroadcast()
-}
-
 // configure applies a configuration snapshot: the cold start and connection limits of
 // the service, and whether the data centre is out of service.
 func (t *localTarget) configure(config *configSnapshot) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,6 +39,7 @@
 	suspicionsLifted  metrics.Counter
 	silentConnections metrics.Counter
 	storeWentBack     metrics.Counter
+	departuresNotKept metrics.Counter
 	crashRecordsSent  metrics.Counter
 	// configOutdated is the time for which the node knew of a newer configuration
 	// before it activated one.
@@ -72,6 +73,7 @@
 		suspicionsLifted:  counter("suspicions.lifted"),
 		silentConnections: counter("hops.silent-connections"),
 		storeWentBack:     counter("store.went-back"),
+		departuresNotKept: counter("departures.not_kept"),
 		crashRecordsSent:  counter("peers.crash-records-sent"),
 
 		configOutdated:      newTimer(),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -70,6 +70,7 @@
 	codec.Register(kindStatus, &fleet.Status{})
 	codec.Register(kindHeartbeat, &fleet.Heartbeat{})
 	codec.Register(kindCrashRecords, &quarantine.Message{})
+	codec.Register(kindDepartures, &departureNotice{})
 	return &statusExchange{
 		node:               n,
 		codec:              codec,
@@ -250,6 +251,8 @@
 			p.node.fleet.MergeHeartbeat(*m, time.Now())
 		case *quarantine.Message:
 			p.node.crashes.merge(*m)
+		case *departureNotice:
+			p.node.departures.receive(m, from.String())
 		}
 	}
 }
@@ -265,6 +268,7 @@
 		p.node.events.log(journal.Change, "peer_started", "peer", status.Node, "incarnation", status.Incarnation, "instance", status.Instance)
 		p.reply(status.Node)
 		p.node.crashes.welcome(from)
+		p.node.departures.welcome(status.Node, from)
 	}
 	config := p.node.config.snapshot()
 	p.node.store.eraRose(store.VersionEra(status.OutRevision), status.Node)
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -173,6 +173,9 @@
 	time.AfterFunc(rand.N(recordRewriteJitter*time.Duration(s.node.fleet.KnownNodes())), func() {
 		s.recordLost.Store(true)
 		s.requestRecordWrite()
+		if len(s.node.localTarget.departures()) > 0 {
+			s.node.departures.requestWrite()
+		}
 	})
 }
 
--- a/gateway/target_notice.go
+++ b/gateway/target_notice.go
@@ -36,6 +36,7 @@
 	news := t.gate.MarkLeaving(instance, time.Now())
 	t.mu.Unlock()
 	if news {
+		t.node.departures.requestWrite()
 		t.node.events.targetLeaving(instance)
 		t.node.peers.requestBroadcast()
 	}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"verbenatrestle/process/departure"
+)
 
 // Settings configures a Gate.
 type Settings struct {
@@ -41,9 +45,8 @@
 	coldUntil         time.Time
 	down              bool
 	dataCentreOut     bool
-	// deregistered maps each deregistered instance to the start of its process,
-	// in Unix milliseconds.
-	deregistered map[string]int64
+	// departures holds the processes of the target that leave or have left.
+	departures departure.List
 
 	// slowdown is how long work takes now, in percent of the usual time.
 	slowdown int
@@ -101,7 +104,6 @@
 		callerCounts:   make(callerCounts),
 		saturation:     newSaturationDetector(),
 		crashes:        newCrashTracker(),
-		deregistered:   make(map[string]int64),
 	}
 }
 
--- a/process/gate/leaving_test.go
+++ b/process/gate/leaving_test.go
@@ -1,6 +1,10 @@
 package gate
 
-import "testing"
+import (
+	"testing"
+
+	"verbenatrestle/process/departure"
+)
 
 // A target that has said in a response that it leaves must get nothing more, whatever its
 // late reports say, until another process runs there.
@@ -25,3 +29,42 @@
 		t.Error("another process counts as leaving")
 	}
 }
+
+// A node that has started again gets a delayed report of a process that another one has
+// replaced. It must not send requests to the former, and the latter must be used.
+func TestReplacedProcessIsNotUsedAfterARestart(t *testing.T) {
+	first := Report{Instance: "i-1", Service: "s", Address: "10.0.0.1:1", Slots: 1, Sequence: 7, StartedMillis: 1000}
+	second := Report{Instance: "i-2", Service: "s", Address: "10.0.0.1:1", Slots: 1, Sequence: 3, StartedMillis: 2000}
+	before := New(Settings{QueueShare: 1})
+	before.ApplyReport(first, start)
+	before.ApplyReport(second, start)
+	for _, order := range [][]Report{{first, second}, {second, first}} {
+		g := New(Settings{QueueShare: 1})
+		if !g.RestoreDepartures(before.Departures(), start) || g.RestoreDepartures(before.Departures(), start) {
+			t.Fatal("not exactly the first call adds departures")
+		}
+		for _, report := range order {
+			g.ApplyReport(report, start)
+			if state := g.State(start); state.Accepting != (state.Instance == "i-2") {
+				t.Errorf("after the report of %s: %+v", report.Instance, state)
+			}
+		}
+		if state := g.State(start); state.Instance != "i-2" {
+			t.Errorf("%s is used at the end", state.Instance)
+		}
+	}
+}
+
+// Departures that arrive only after the target was taken for usable must stop it.
+func TestRestoredDepartureStopsTheTarget(t *testing.T) {
+	g := newTestGate(1)
+	g.Admit(newRequest("a", start), start)
+	waiting := g.Admit(newRequest("b", start), start).Waiter
+	g.RestoreDepartures(departure.List{{Instance: "i-1", StartedMillis: 1000}}, start)
+	if refused := <-waiting.Result; refused != RefusedDraining {
+		t.Errorf("a waiting request is refused as %q", refused)
+	}
+	if d := g.Admit(newRequest("c", start), start); d.Refused != RefusedDraining {
+		t.Errorf("a new request: %+v", d)
+	}
+}
--- a/process/gate/report.go
+++ b/process/gate/report.go
@@ -28,9 +28,9 @@
 	StartedMillis int64
 }
 
-// supersedes reports whether r replaces the old report. A report of a process
+// Supersedes reports whether r replaces the old report. A report of a process
 // that started later does; within one process the higher sequence does.
-func (r *Report) supersedes(old *Report) bool {
+func (r *Report) Supersedes(old *Report) bool {
 	if r.StartedMillis != old.StartedMillis {
 		return r.StartedMillis > old.StartedMillis
 	}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"verbenatrestle/process/departure"
+)
 
 // State describes the target and the load of a gate, as input for choosing
 // among targets.
@@ -52,21 +56,26 @@
 	}
 }
 
-// ApplyReport replaces the target's report. It returns false if the report is
-// not newer than the present one or comes from a deregistered process.
+// ApplyReport replaces the target's report. It returns false if the report is not newer
+// than the present one, or if it comes from a process that has departed and is not the
+// present one. As the first report, that of a departed process is applied, but the process
+// counts as draining. The departure of a process that a later one replaces is recorded.
 func (g *Gate) ApplyReport(report Report, now time.Time) bool {
-	if g.target != nil && !report.supersedes(g.target) {
+	if g.target != nil && !report.Supersedes(g.target) {
 		return false
 	}
-	if started, ok := g.deregistered[report.Instance]; ok && report.StartedMillis <= started {
+	restarted := g.target == nil || g.target.Instance != report.Instance || g.target.StartedMillis != report.StartedMillis
+	if restarted && g.target != nil && g.departures.Includes(report.Instance, report.StartedMillis) {
 		return false
 	}
-	restarted := g.target == nil || g.target.Instance != report.Instance || g.target.StartedMillis != report.StartedMillis
 	if restarted {
 		g.ProcessEnded(now)
 	}
-	if g.target != nil && !restarted && g.target.Draining {
-		report.Draining = true
+	if g.target != nil && report.StartedMillis > g.target.StartedMillis {
+		g.recordDeparture(departure.Departure{Instance: g.target.Instance, StartedMillis: g.target.StartedMillis})
+	}
+	if report.Draining {
+		g.recordDeparture(departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis})
 	}
 	g.target = &report
 	if restarted {
@@ -90,7 +99,7 @@
 	if g.target == nil || g.target.Instance != instance || g.Draining() {
 		return false
 	}
-	g.target.Draining = true
+	g.recordDeparture(departure.Departure{Instance: instance, StartedMillis: g.target.StartedMillis})
 	g.dispatch(now)
 	return true
 }
@@ -100,17 +109,26 @@
 // that does not know the start passes the present time. Both are in Unix
 // milliseconds.
 func (g *Gate) Deregister(instance string, startedMillis int64, now time.Time) {
-	if len(g.deregistered) >= maxDeregistered {
-		clear(g.deregistered)
-	}
-	g.deregistered[instance] = startedMillis
+	g.recordDeparture(departure.Departure{Instance: instance, StartedMillis: startedMillis})
 	g.dispatch(now)
 }
 
-// maxDeregistered bounds the deregistered processes that are remembered. It is
-// far above the number that runs beside one node before the last delayed report
-// of the first one has arrived.
-const maxDeregistered = 64
+// recordDeparture records that a process of the target leaves or has left.
+func (g *Gate) recordDeparture(d departure.Departure) { g.departures = g.departures.Add(d) }
+
+// Departures returns the departures that are known. The result must not be modified.
+func (g *Gate) Departures() departure.List { return g.departures }
+
+// RestoreDepartures adds departures that an earlier process of this node recorded. It
+// reports whether some were not known.
+func (g *Gate) RestoreDepartures(earlier departure.List, now time.Time) bool {
+	if g.departures.IncludesAll(earlier) {
+		return false
+	}
+	g.departures = g.departures.Merge(earlier)
+	g.dispatch(now)
+	return true
+}
 
 // ApplySlowdown records the slowdown of the latest load sample, in percent of
 // the usual time. Values below 1 are ignored. It reports whether the change was
@@ -218,9 +236,5 @@
 
 // Draining reports whether the target shuts down or was deregistered.
 func (g *Gate) Draining() bool {
-	if g.target == nil {
-		return false
-	}
-	started, deregistered := g.deregistered[g.target.Instance]
-	return g.target.Draining || (deregistered && g.target.StartedMillis <= started)
+	return g.target != nil && g.departures.Includes(g.target.Instance, g.target.StartedMillis)
 }
