Read the configuration from the store by the number of outdated nodes

A node that no peer sends a newer configuration reads it from the store, at random so that not all nodes do so at once. The chance went by the size of the fleet, also if the node was the only outdated one: at 1,343 nodes it waited for 2.7 s on average, longer than a change may take to become active. A node whose latest call had failed did not read at all until its next poll, which in a large fleet came after minutes.

The chance now goes by the estimated number of outdated nodes, and a failed call no longer rules the read out; a node reads at most every 1 to 3 s, as before.

--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -38,8 +38,8 @@
 	storeReadAfterFailure = 700 * time.Millisecond
 	storeReadAfter        = 2500 * time.Millisecond
 	storeReadInterval     = 2 * time.Second
-	// storeReadersAtOnce is how many nodes of a fleet begin such a read within
-	// pullRetryInterval if all of them are outdated.
+	// storeReadersAtOnce is how many of the outdated nodes of a fleet begin such a read
+	// within pullRetryInterval.
 	storeReadersAtOnce = 20
 	// pullRetryInterval is the mean interval at which a node that knows of a newer
 	// configuration checks whether a peer can be asked for it.
@@ -113,20 +113,24 @@
 }
 
 // readConfigFromStore reads the configuration from the store if the peers have failed to
-// send a newer one for too long. It reports whether it did.
+// send a newer one for too long, also if the latest call to the store failed: that may have
+// been long ago. It reports whether it did.
 func (n *Node) readConfigFromStore(ctx context.Context) bool {
 	now := time.Now()
 	puller := &n.peers.configPuller
 	outdatedFor, failures := n.configLag.elapsed(now)
 	due := outdatedFor >= storeReadAfter || failures > 0 && outdatedFor >= storeReadAfterFailure
-	if !due || !n.store.reachable.Load() || now.Before(puller.nextStoreRead) || puller.isUndecodable(puller.undecodable, now) {
+	if !due || now.Before(puller.nextStoreRead) || puller.isUndecodable(puller.undecodable, now) {
 		return false
 	}
-	if rand.Float64()*float64(n.fleet.NodeCount(now)) >= storeReadersAtOnce {
+	outdated := n.fleet.OutdatedNodes(n.configLag.newestKnown(), now)
+	if rand.Float64()*float64(outdated) >= storeReadersAtOnce {
 		return false
 	}
 	puller.nextStoreRead = now.Add(storeReadInterval/2 + rand.N(storeReadInterval))
-	if err := n.store.readConfig(ctx); err != nil {
+	err := n.store.readConfig(ctx)
+	n.store.recordCallResult(err)
+	if err != nil {
 		n.events.log(journal.Change, "config_read_failed", "dependency", "store", "err", err)
 		return false
 	}
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -106,6 +106,32 @@
 	eventually(t, "the node has the configuration", func() bool { return standby.config.snapshot().number() == 2 })
 }
 
+// A node of a large fleet can't fetch a configuration that all others have, after an outage
+// of the store. It must read the store at once: a wait for its turn among all nodes, or for
+// its next poll, takes longer than a change may take to become active.
+func TestOnlyOutdatedNodeReadsTheStoreAtOnce(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(2, "s"))
+	for try := range 20 {
+		n, err := New(f.newSettings(fmt.Sprint("outdated-", try), "s"), io.Discard)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.closeListeners)
+		now := time.Now()
+		for i := range 1342 {
+			name, address := fmt.Sprint("n-", i), fmt.Sprintf("127.0.%d.5:%d", i/250, 1+i)
+			n.fleet.AddDiscovered(fleet.Discovered{Node: name, DatagramAddress: address}, now)
+			n.fleet.Merge(fleet.Status{Node: name, Incarnation: uint64(i + 1), Sequence: 1, ConfigNumber: 2}, address, now)
+		}
+		n.configLag.received(2, 0, now.Add(-2*storeReadAfter))
+		n.store.recordCallResult(errors.New("no response"))
+		if !n.readConfigFromStore(t.Context()) || n.config.snapshot().number() != 2 {
+			t.Fatal("the store is not read")
+		}
+	}
+}
+
 // All holders of a newer configuration are silent for a moment, as when their links are
 // full. The node still knows that its own one is outdated.
 func TestOutdatedNodeRemembersWhileHoldersAreSilent(t *testing.T) {
--- a/process/fleet/configholder.go
+++ b/process/fleet/configholder.go
@@ -67,6 +67,25 @@
 	return holders, outdated
 }
 
+// OutdatedNodes estimates how many nodes of the fleet, this one included, have a
+// configuration with a lower number than the given one, by their share among the heartbeat
+// peers.
+func (t *Table) OutdatedNodes(number uint64, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	outdated, received := 1, 1
+	for _, p := range t.peers {
+		if p.StatusOnly || !t.receivedRecently(p, now) {
+			continue
+		}
+		received++
+		if p.Status.ConfigNumber < number {
+			outdated++
+		}
+	}
+	return max(1, t.nodeCount(now)*outdated/received)
+}
+
 // AvoidConfigHolder makes ConfigHolder pass over a peer until the given time, because
 // it did not send its configuration.
 func (t *Table) AvoidConfigHolder(node string, until time.Time) {
--- a/process/fleet/configholder_test.go
+++ b/process/fleet/configholder_test.go
@@ -121,3 +121,26 @@
 		t.Fatalf("share of the nodes that ask when most have it: %v", own)
 	}
 }
+
+// A node that must not act at the same moment as all outdated ones estimates their number:
+// in a large fleet nearly all nodes may be outdated, or it alone.
+func TestOutdatedNodesAreEstimated(t *testing.T) {
+	for _, outdated := range []int{0, 30, 60} {
+		table := newTestTable()
+		for i := range 60 {
+			s := status(fmt.Sprint("n-", i), uint64(i+1), 1)
+			s.ConfigNumber = 4
+			if i < outdated {
+				s.ConfigNumber = 3
+			}
+			table.Merge(s, s.Node, start)
+		}
+		for i := range 939 {
+			table.AddDiscovered(Discovered{Node: fmt.Sprint("silent-", i), DatagramAddress: fmt.Sprint("silent-", i)}, start)
+			table.peers[fmt.Sprint("silent-", i)].StatusOnly = true
+		}
+		if got, want := table.OutdatedNodes(4, start), 1000*(outdated+1)/61; got != want {
+			t.Errorf("%d of 60 peers are outdated: estimated %d of 1,000, want %d", outdated, got, want)
+		}
+	}
+}
