Repeat a failed list of the nodes soon, whatever the size of the fleet

After a list that failed, the next one came after the interval of a full list, 0.2 s for each node: 269 s at 1,343 nodes. The lists that a node makes within seconds after its start, in which it finds those that started beside it, were given up one by one if they fell into an outage.

A failed list is now repeated after 5 s, or 20 ms for each node if that is longer (50 lists a second at most), and the lists after a start are made later.

With failed lists treated as before, TestFailedNodeListIsRepeatedSoon fails (one of the lists after the start is used up); it passes now.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -58,16 +58,15 @@
 		s.node.events.log(journal.Change, "meeting_failed", "dependency", "store", "err", err)
 		wait.For(ctx, backoff.Next(s.rng))
 	}
+	failed := false
 	for {
-		interval := max(nodeListInterval, nodeListIntervalPerNode*time.Duration(s.node.fleet.NodeCount(time.Now())))
-		if len(delays) > 0 {
-			interval, delays = delays[0], delays[1:]
-		}
+		interval := s.nextListInterval(failed, &delays)
 		if !s.writeRecordsFor(ctx, time.Duration(float64(interval)*(0.75+rand.Float64()/2))) {
 			return
 		}
 		objects, _, err := s.client.ListStale(ctx, platform.PrefixNodes)
-		if err != nil {
+		failed = err != nil
+		if failed {
 			s.node.events.log(journal.Change, "node_list_failed", "dependency", "store", "err", err)
 			continue
 		}
@@ -75,6 +74,22 @@
 	}
 }
 
+// nextListInterval returns the mean time until the next list of the nodes, and removes it
+// from delays if it comes from there. A failed list is repeated soon, so that an outage
+// delays none by the interval of a large fleet.
+func (s *storeSync) nextListInterval(failed bool, delays *[]time.Duration) time.Duration {
+	nodes := time.Duration(s.node.fleet.NodeCount(time.Now()))
+	switch {
+	case failed:
+		return max(nodeListRetryInterval, nodeListRetryIntervalPerNode*nodes)
+	case len(*delays) > 0:
+		next := (*delays)[0]
+		*delays = (*delays)[1:]
+		return next
+	}
+	return max(nodeListInterval, nodeListIntervalPerNode*nodes)
+}
+
 // register lists the nodes, and writes the record of this node if it is
 // missing or outdated. It reports whether it did. The list may be stale. Nodes that
 // register at the same time discover each other by their later lists.
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -85,6 +85,10 @@
 	// longer. Nodes that start announce themselves to the others.
 	nodeListInterval        = 20 * time.Second
 	nodeListIntervalPerNode = 200 * time.Millisecond
+	// nodeListRetryInterval and nodeListRetryIntervalPerNode take the place of these after
+	// a list that failed. In a large fleet all nodes together then list 50 times a second.
+	nodeListRetryInterval        = 5 * time.Second
+	nodeListRetryIntervalPerNode = 20 * time.Millisecond
 	// recordRewriteJitter spreads the writes of node records after the store went back,
 	// for each node of the fleet: at 1,300 nodes 100 a second.
 	recordRewriteJitter = 10 * time.Millisecond
--- a/gateway/store_test.go
+++ b/gateway/store_test.go
@@ -71,3 +71,33 @@
 		}
 	}
 }
+
+// A node of a large fleet starts just before an outage of the store, so the lists in which
+// it would find the nodes that started beside it fail. It must not wait for the interval of
+// a large fleet, which is minutes, nor give up the lists that follow a start.
+func TestFailedNodeListIsRepeatedSoon(t *testing.T) {
+	f := newTestFleet(t)
+	n, err := New(f.newSettings("listing", "s"), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.closeListeners)
+	now := time.Now()
+	for i := range 1342 {
+		n.fleet.Merge(fleet.Status{Node: fmt.Sprint("n-", i), Incarnation: uint64(i + 1), Sequence: 1}, fmt.Sprintf("127.0.%d.6:%d", i/250, 1+i), now)
+	}
+	delays := relistDelays
+	for range 5 {
+		if got := n.store.nextListInterval(true, &delays); got > 30*time.Second || len(delays) != len(relistDelays) {
+			t.Fatalf("repeated after %v, with %d lists left", got, len(delays))
+		}
+	}
+	for _, want := range relistDelays {
+		if got := n.store.nextListInterval(false, &delays); got != want {
+			t.Errorf("next list after %v, want %v", got, want)
+		}
+	}
+	if got := n.store.nextListInterval(false, &delays); got < time.Minute {
+		t.Errorf("lists go on every %v", got)
+	}
+}
