Departures: late draining reports, a store that went back, and many starts in an outage

Found while the departures were read through; no caller was seen to be hit.

- A delayed draining report of a process that another one had replaced was not recorded as a departure, so its acknowledgement waited in vain and the target got 503.
TestLateDrainingReportOfAnEarlierProcessIsKept fails without the change.
- After the store had gone back to an older copy, a departure counted as stored until it was written again.
- Nodes that start while the store is down try to read their departures at a rate that does not grow with the fleet, once reports no longer wait for them.
- The state dump shows the departures.

The tests of departures, reports, eras and outages in gateway pass with the race detector.

--- a/gateway/control.go
+++ b/gateway/control.go
@@ -63,7 +63,7 @@
 		return
 	}
 	n.localTarget.applyReport(report)
-	if report.Draining {
+	if report.Draining && n.localTarget.departures().Includes(report.Instance, report.StartedMillis) {
 		n.acknowledgeDeparture(w, r, departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis})
 		return
 	}
--- a/gateway/departurestore.go
+++ b/gateway/departurestore.go
@@ -37,7 +37,11 @@
 			break
 		}
 		k.node.events.log(journal.Change, "departures_not_read", "dependency", "store", "err", err)
-		wait.For(ctx, backoff.Next(rng))
+		delay := backoff.Next(rng)
+		if k.loaded.Load() { // reports no longer wait, and all nodes may have started in the outage
+			delay += k.node.store.rewriteJitter()
+		}
+		wait.For(ctx, delay)
 	}
 	k.endLoading(true)
 	backoff.Reset()
@@ -87,6 +91,10 @@
 	k.markStored(object.Departures)
 }
 
+// storeWentBack records that the store may lack the departures, since it went back to an
+// older copy. The caller requests the write after a random time.
+func (k *departureKeeper) storeWentBack() { k.markStored(nil) }
+
 // endLoading applies the reports of the target that waited for the departures. Read is set
 // if these have been read from the store.
 func (k *departureKeeper) endLoading(read bool) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"verbenatrestle/process/departure"
 	"verbenatrestle/process/fleet"
 )
 
@@ -43,6 +44,8 @@
 	Waiting   int     `json:"waiting"`
 	Slowdown  int     `json:"slowdown_percent"`
 	ColdLeftS float64 `json:"cold_left_s"`
+	// Departures holds the processes of the target that leave or have left.
+	Departures departure.List `json:"departures,omitempty"`
 }
 
 // ConfigState is the active configuration. AgeS is the time since it became active
@@ -108,6 +111,7 @@
 	return TargetState{
 		Service: s.Service, Instance: s.Instance, Accepting: s.Accepting, Slots: s.Slots, Running: s.Running,
 		Waiting: s.Waiting, Slowdown: s.Slowdown, ColdLeftS: s.ColdRemaining.Seconds(),
+		Departures: n.localTarget.departures(),
 	}
 }
 
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -164,8 +164,8 @@
 }
 
 // eraRose records that the store went back to an older copy, as the store or a peer reported.
-// The record of this node may be gone then, so it is written again, at a random time, since
-// all nodes do so.
+// The record of this node and its departures may be gone then, so they are written again, at
+// a random time, since all nodes do so.
 func (s *storeSync) eraRose(after store.Era, source string) {
 	known := s.era.Load()
 	for ; uint64(after) > known && !s.era.CompareAndSwap(known, uint64(after)); known = s.era.Load() {
@@ -174,7 +174,8 @@
 		return
 	}
 	s.node.events.storeWentBack(store.Era(known), after, source)
-	time.AfterFunc(rand.N(recordRewriteJitter*time.Duration(s.node.fleet.KnownNodes())), func() {
+	s.node.departures.storeWentBack()
+	time.AfterFunc(s.rewriteJitter(), func() {
 		s.recordLost.Store(true)
 		s.requestRecordWrite()
 		if len(s.node.localTarget.departures()) > 0 {
@@ -183,6 +184,11 @@
 	})
 }
 
+// rewriteJitter returns a random delay of a call that all nodes may make at once.
+func (s *storeSync) rewriteJitter() time.Duration {
+	return rand.N(recordRewriteJitter * time.Duration(s.node.fleet.KnownNodes()))
+}
+
 // newWatcher returns a watcher of the objects whose keys have the prefix.
 func (s *storeSync) newWatcher(client *store.Client, prefix string, handle func(store.Update)) *store.Watcher {
 	return &store.Watcher{
--- a/process/gate/leaving_test.go
+++ b/process/gate/leaving_test.go
@@ -68,3 +68,16 @@
 		t.Errorf("a new request: %+v", d)
 	}
 }
+
+// A delayed draining report of a process that another one has replaced is acknowledged, so
+// it must be kept as a departure. It must not stop the present process.
+func TestLateDrainingReportOfAnEarlierProcessIsKept(t *testing.T) {
+	g := newTestGate(1)
+	late := Report{Instance: "i-0", Service: "s", Slots: 1, Sequence: 9, StartedMillis: 500, Draining: true}
+	if g.ApplyReport(late, start) || !g.Departures().Includes("i-0", 500) {
+		t.Errorf("departures: %v", g.Departures())
+	}
+	if d := g.Admit(newRequest("a", start), start); !d.Admitted() {
+		t.Errorf("the present process is refused: %q", d.Refused)
+	}
+}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -62,6 +62,9 @@
 // counts as draining. The departure of a process that a later one replaces is recorded.
 func (g *Gate) ApplyReport(report Report, now time.Time) bool {
 	if g.target != nil && !report.Supersedes(g.target) {
+		if report.Draining && report.StartedMillis < g.target.StartedMillis {
+			g.recordDeparture(departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis})
+		}
 		return false
 	}
 	restarted := g.target == nil || g.target.Instance != report.Instance || g.target.StartedMillis != report.StartedMillis
