Gate: requests that wait are refused when the target's service changes

Path: a request waits at the gate of a busy or cold target; that target ends; a target of another service takes its address and reports; the gate admits the waiting request to it, and the node names the new instance as the expected one, so the target takes the request.

Cause: the service was compared before the request began to wait. A report of another process, or of another service, kept the queue.

The report and the refusal of all that waits are one step under the target's lock, and only requests for the reported service are admitted, so no request for the old service remains. The refusal is "not run"; the ingress tries the other targets of its service.

--- /dev/null
+++ b/gateway/reused_address_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenatrestle/platform/standin"
+)
+
+// reuseAddress starts a target of another service at the address of a node's target. It takes
+// the requests there from now on, and reports once.
+func (n *testNode) reuseAddress(t *testing.T, service string) *standin.Target {
+	t.Helper()
+	next := standin.NewTarget(standin.TargetOptions{
+		Instance: "i-next-" + n.settings.Name, Service: service, DataCentre: "z1", Slots: 8,
+		RunTime: time.Millisecond, ReportAddress: n.settings.Listen.Reports,
+	})
+	n.target.Intercept(func(w http.ResponseWriter, r *http.Request) bool {
+		next.ServeHTTP(w, r)
+		return true
+	})
+	if err := next.SendReport(n.settings.Target, false); err != nil {
+		t.Fatal(err)
+	}
+	if state := n.localTarget.state(time.Now()); state.Service != service {
+		t.Fatalf("the node serves %q, want %q", state.Service, service)
+	}
+	return next
+}
+
+// Requests that waited at the gate were sent to a target of another service once it had taken
+// the address, with its own instance in Target-Instance, so that it ran them.
+func TestWaitingRequestIsNotSentToTargetOfAnotherService(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
+	n := f.add(testTarget{service: "s", slots: 1, work: 300 * time.Millisecond})
+	f.settled(1)
+	var calls sync.WaitGroup
+	statuses := make([]int, 2)
+	for i := range statuses {
+		calls.Go(func() { statuses[i] = n.call(t, http.MethodGet, "/s/1", fmt.Sprint("id-", i), "").status })
+	}
+	eventually(t, "one request runs and one waits", func() bool {
+		state := n.localTarget.state(time.Now())
+		return len(n.target.Runs()) == 1 && state.Waiting == 1
+	})
+	next := n.reuseAddress(t, "u")
+	calls.Wait()
+	if runs := next.Runs(); len(runs) != 0 {
+		t.Errorf("the target of u ran a request for s: %+v", runs)
+	}
+	if statuses[0]+statuses[1] != http.StatusOK+http.StatusServiceUnavailable {
+		t.Errorf("statuses %v, want one 200 and one 503", statuses)
+	}
+}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -125,8 +125,8 @@
 // Admitted reports whether the request may be sent to the target now.
 func (d Decision) Admitted() bool { return d.Refused == "" && d.Waiter == nil }
 
-// Admit decides whether a request may be sent to the target now, has to wait or
-// is refused. The caller ends an admitted request with one of Done, Cancelled,
+// Admit decides whether a request for the target's service may be sent there now, has to
+// wait or is refused. The caller ends an admitted request with one of Done, Cancelled,
 // ConnectionLost, Unsent and Shed.
 func (g *Gate) Admit(req Request, now time.Time) Decision {
 	if refused, after := g.precheck(req, now); refused != "" {
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -59,7 +59,8 @@
 // ApplyReport replaces the target's report. It returns false if the report is not newer
 // than the present one, or if it comes from a process that has departed and is not the
 // present one. As the first report, that of a departed process is applied, but the process
-// counts as draining. The departure of a process that a later one replaces is recorded.
+// counts as draining. The departure of a process that a later one replaces is recorded. If
+// the target now belongs to another service, the requests that wait are refused.
 func (g *Gate) ApplyReport(report Report, now time.Time) bool {
 	if g.target != nil && !report.Supersedes(g.target) {
 		if report.Draining && report.StartedMillis < g.target.StartedMillis {
@@ -80,7 +81,11 @@
 	if report.Draining {
 		g.recordDeparture(departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis})
 	}
+	otherService := g.target != nil && report.Service != g.target.Service
 	g.target = &report
+	if otherService {
+		g.refuseAll(RefusedOtherService, minRetryAfter)
+	}
 	if restarted {
 		g.down = false
 		g.coldUntil = time.Time{}
