Targets: the service is compared again when a request is sent

Path: a request is admitted; before it is sent, a target of another service reports at the same address; the request is sent with the instance of the new target as the expected one, which therefore runs it.

Cause: the service was compared at the admission only, and the sender then read pool and instance once more, after the report.

Service, pool and instance are now read in one step under the target's lock, and a request for another service is released as not run.

--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -144,14 +144,20 @@
 	return gate.RefusedLate
 }
 
-// send sends an admitted request to the target and waits for the response.
+// send sends an admitted request to the target and waits for the response. The pool, the
+// service and the instance are those of one moment: a target that takes the address later is
+// not the instance that the request names, and does not run it.
 func (t *localTarget) send(ctx context.Context, req *targetRequest) attemptResult {
 	start := time.Now()
 	t.mu.Lock()
 	pool, state := t.pool, t.gate.State(start)
 	t.mu.Unlock()
 	remaining := req.admission.Deadline.Sub(start)
-	if remaining < minSendTime {
+	switch {
+	case state.Service != req.service: // another target has reported since the admission
+		t.releaseUnsent(req)
+		return refusedResult(string(gate.RefusedOtherService), 0)
+	case remaining < minSendTime:
 		t.releaseUnsent(req)
 		return refusedResult(string(gate.RefusedLate), 0)
 	}
--- a/gateway/reused_address_test.go
+++ b/gateway/reused_address_test.go
@@ -7,7 +7,11 @@
 	"testing"
 	"time"
 
+	"verbenatrestle/connection/exchange"
+	"verbenatrestle/platform"
 	"verbenatrestle/platform/standin"
+	"verbenatrestle/process/gate"
+	"verbenatrestle/request"
 )
 
 // reuseAddress starts a target of another service at the address of a node's target. It takes
@@ -56,3 +60,32 @@
 		t.Errorf("statuses %v, want one 200 and one 503", statuses)
 	}
 }
+
+// A request was sent to a target of another service that took the address after the admission.
+func TestAdmittedRequestIsNotSentToTargetOfAnotherService(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
+	n := f.add(quick)
+	f.settled(1)
+	now := time.Now()
+	header := http.Header{platform.HeaderRequestID: {"id"}}
+	req := &targetRequest{
+		message:   exchange.Request{Method: http.MethodGet, RequestURI: "/s/1", Host: "h", Header: header, ID: "id"},
+		service:   "s",
+		admission: gate.Request{ID: "id", Kind: "r-s", Due: now.Add(time.Second), Deadline: now.Add(time.Second)},
+	}
+	if reason, _ := n.localTarget.admit(t.Context(), req, now); reason != "" {
+		t.Fatalf("refused: %s", reason)
+	}
+	next := n.reuseAddress(t, "u")
+	r := n.localTarget.send(t.Context(), req)
+	if runs := next.Runs(); len(runs) != 0 {
+		t.Errorf("the target of u ran a request for s: %+v", runs)
+	}
+	if r.outcome != request.NotRun || r.reason != string(gate.RefusedOtherService) {
+		t.Errorf("outcome %q, reason %q", r.outcome, r.reason)
+	}
+	if running := n.localTarget.state(time.Now()).Running; running != 0 {
+		t.Errorf("%d requests count as running", running)
+	}
+}
