Traffic splits: current weights start anew when a split changes

After a change of a route's split, requests of callers could go to a service to which the new split gives the weight zero. If no earlier configuration gave it a share, no configuration ever allowed that.

Cause: the current weights of the round robin were kept by the name of the route, also when its services or weights changed. Under the split before they may be negative for all services that are left, and then a new service with weight zero came first.

A split of other services or weights now starts with random weights, as a new route does. They are not negative and their sum stays the same, so the highest one is positive and a weight of zero is never chosen. Whether the operator's configurations use a weight of zero is not known.

--- a/gateway/traffic_split.go
+++ b/gateway/traffic_split.go
@@ -2,42 +2,53 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"verbenatrestle/version"
 )
 
-// maxSplitRoutes bounds the number of routes whose weights are kept.
+// maxSplitRoutes bounds the number of routes whose splits are kept.
 const maxSplitRoutes = 1024
 
 // trafficSplitter distributes the requests of each route over its services by
 // smooth weighted round robin: the current weights are carried over from one
-// request to the next, so that the proportions hold in short periods too. It
-// is safe for concurrent use.
+// request to the next, so that the proportions hold in short periods too. They
+// start anew when the services or weights of the route change. It is safe for concurrent use.
 type trafficSplitter struct {
 	mu sync.Mutex
-	// currentWeights holds the current weight of each service by name of the
-	// route.
-	currentWeights map[string]map[string]float64
+	// splits holds the split of each route by its name.
+	splits map[string]*split
+}
+
+// split is the split of one route.
+type split struct {
+	// services is what the current weights belong to.
+	services []version.WeightedService
+	// currentWeights holds the current weight of each service. They start at zero or above
+	// and keep their sum, so the highest one is positive, and that of a service whose
+	// weight is zero stays zero.
+	currentWeights map[string]float64
 }
 
 // newTrafficSplitter returns a splitter without any routes.
 func newTrafficSplitter() *trafficSplitter {
-	return &trafficSplitter{currentWeights: make(map[string]map[string]float64)}
+	return &trafficSplitter{splits: make(map[string]*split)}
 }
 
 // next returns the service with the highest current weight.
 func (s *trafficSplitter) next(rule *version.RouteRule) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	weights := s.currentWeights[rule.Name]
-	if weights == nil {
-		if len(s.currentWeights) >= maxSplitRoutes {
-			clear(s.currentWeights)
+	current := s.splits[rule.Name]
+	if current == nil || !slices.Equal(current.services, rule.Services) {
+		if len(s.splits) >= maxSplitRoutes {
+			clear(s.splits)
 		}
-		weights = randomWeights(rule)
-		s.currentWeights[rule.Name] = weights
+		current = &split{services: rule.Services, currentWeights: randomWeights(rule)}
+		s.splits[rule.Name] = current
 	}
+	weights := current.currentWeights
 	total := 0.0
 	best := rule.Services[0].Name
 	for _, service := range rule.Services {
--- a/gateway/traffic_split_test.go
+++ b/gateway/traffic_split_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"verbenatrestle/platform"
+	"verbenatrestle/version"
 )
 
 // The proportions of a traffic split have to hold within 100 requests.
@@ -20,3 +21,19 @@
 		t.Fatalf("%v", counts)
 	}
 }
+
+// After a change of the split, requests went to a service whose weight is zero, while the weights
+// that were carried over put it before the others.
+func TestServiceOfWeightZeroGetsNoRequests(t *testing.T) {
+	before := &version.RouteRule{Name: "r", Services: []version.WeightedService{{Name: "a", Weight: 50}, {Name: "b", Weight: 50}}}
+	after := &version.RouteRule{Name: "r", Services: []version.WeightedService{{Name: "c", Weight: 0}, {Name: "a", Weight: 1}}}
+	for requests := range 100 {
+		s := newTrafficSplitter()
+		for range requests {
+			s.next(before)
+		}
+		if chosen := s.next(after); chosen != "a" {
+			t.Fatalf("after %d requests: %q was chosen, want a", requests, chosen)
+		}
+	}
+}
