Hops: a node without a configuration refuses callers that nobody has checked

Path: a node of an earlier build, which does not know keys, sends a request over a hop to a node that has just started and has no configuration yet.

Cause: such a node relies on the sender, as one with an older configuration does. A node of an earlier build names no configuration by which it has checked the caller.

Evidence, on the code before this change: TestNodeWithoutConfigurationRunsOnlyCheckedRequests: unchecked: status 200, want 503; unchecked: 1 runs.

The hop is refused as not run, with a reason and a log line of its own, and the sender tries its other targets. Hops of nodes that check keys are served as before. While nodes of such builds are replaced, a node that has no configuration yet serves none of their hops, also where the configuration has no organisations.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -130,6 +130,12 @@
 		"config", config, "peer_config", caller.Config)
 }
 
+// keyUnchecked logs a request of a node of an earlier build whose key nobody has checked, while
+// this node has no configuration.
+func (e *eventLog) keyUnchecked(id, peer string) {
+	e.journal.Log(journal.Failure, "key_unchecked", "request", id, "peer", peer)
+}
+
 // beyondQuota logs and counts a request that is not admitted because of the quota of its
 // organisation.
 func (e *eventLog) beyondQuota(id string, caller version.Caller, limit quota.Limit, config uint64, result quota.Result) {
--- a/gateway/hopserver.go
+++ b/gateway/hopserver.go
@@ -78,18 +78,18 @@
 		remaining, err = platform.ParseMillis(r.Header.Get(platform.HeaderTimeout))
 	}
 	var caller version.Caller
-	var confirmed bool
+	var refused string
 	if err == nil {
-		caller, confirmed, err = n.confirm(r)
+		caller, refused, err = n.confirm(r)
 	}
 	if err != nil {
 		n.events.badMessage("order", r.RemoteAddr, err)
 		bad := refusedResult("bad-order", 0)
 		return encodeResult(id, &bad)
 	}
-	if !confirmed {
-		withdrawn := refusedResult(reasonKeyWithdrawn, outdatedRetryAfter)
-		return encodeResult(id, &withdrawn)
+	if refused != "" {
+		result := refusedResult(refused, outdatedRetryAfter)
+		return encodeResult(id, &result)
 	}
 	admission.ID = id
 	admission.Suspect = r.Header.Get(request.HeaderSuspect) != ""
--- a/gateway/organisations.go
+++ b/gateway/organisations.go
@@ -22,6 +22,10 @@
 // configuration, which is not older than the sender's, does not hold the caller's key.
 const reasonKeyWithdrawn = "key-withdrawn"
 
+// reasonKeyUnchecked is the reason of an attempt that the target's node refused because it has no
+// configuration and the sender, a node of an earlier build, has not checked the caller.
+const reasonKeyUnchecked = "key-unchecked"
+
 // authenticationScheme is the challenge of a response with status 401.
 const authenticationScheme = platform.HeaderKey
 
@@ -45,25 +49,31 @@
 }
 
 // confirm checks the caller of a request of another node, and returns the caller as this node
-// knows it.
-func (n *Node) confirm(r *pipeline.Request) (caller version.Caller, ok bool, err error) {
-	caller, err = decodeCaller(r.Header.Get(headerOrganisation))
+// knows it, or the reason to refuse the request.
+func (n *Node) confirm(r *pipeline.Request) (caller version.Caller, refused string, err error) {
+	sent := r.Header.Get(headerOrganisation)
+	caller, err = decodeCaller(sent)
 	if err != nil {
-		return version.Caller{}, false, err
+		return version.Caller{}, "", err
+	}
+	id, config := r.Header.Get(platform.HeaderRequestID), n.config.snapshot()
+	if config.routes == nil && sent == "" {
+		n.events.keyUnchecked(id, r.RemoteAddr)
+		return version.Caller{}, reasonKeyUnchecked, nil
 	}
-	config := n.config.snapshot()
 	if config.routes == nil {
-		return caller, true, nil // as with any configuration that is older than the sender's
+		return caller, "", nil // as with any configuration that is older than the sender's
 	}
 	rule := config.routes.Route(r.Host, r.Path)
 	confirmed, ok := config.routes.Confirm(rule, caller)
-	if r.Header.Get(headerOrganisation) == "" { // nodes of earlier builds pass the key on
+	if sent == "" { // nodes of earlier builds pass the key on
 		confirmed, ok = config.routes.Identify(rule, r.Header.Values(platform.HeaderKey))
 	}
 	if !ok {
-		n.events.keyWithdrawn(r.Header.Get(platform.HeaderRequestID), r.RemoteAddr, caller, config.number())
+		n.events.keyWithdrawn(id, r.RemoteAddr, caller, config.number())
+		return version.Caller{}, reasonKeyWithdrawn, nil
 	}
-	return confirmed, ok, nil
+	return confirmed, "", nil
 }
 
 // encodeCaller encodes a caller for headerOrganisation: the number of the configuration, and if
--- a/gateway/organisations_hop_test.go
+++ b/gateway/organisations_hop_test.go
@@ -3,9 +3,12 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"verbenatrestle/platform"
 	"verbenatrestle/platform/standin"
+	"verbenatrestle/request"
+	"verbenatrestle/version"
 )
 
 // A node whose configuration is older than that of the target's node must not bring back a key
@@ -98,3 +101,32 @@
 		}
 	}
 }
+
+// A node that has just started and has no configuration ran a request whose key nobody had
+// checked, if a node of an earlier build sent it. What a node of this build has checked, it runs.
+func TestNodeWithoutConfigurationRunsOnlyCheckedRequests(t *testing.T) {
+	f := newTestFleet(t)
+	n := f.add(testTarget{service: "u", slots: 8, work: time.Millisecond})
+	eventually(t, "the node has a target", func() bool { return n.localTarget.state(time.Now()).Accepting })
+	recorder := &headerRecorder{headers: map[string][]http.Header{}}
+	recorder.record(n.target, "")
+	hop := *n
+	hop.settings.Listen.Callers = n.settings.Listen.Hop
+	for id, c := range map[string]struct {
+		headers      []string
+		organisation string
+		status       int
+	}{
+		"unchecked": {[]string{"Key", "key-of-nobody"}, "", http.StatusServiceUnavailable},
+		"checked":   {[]string{headerOrganisation, encodeCaller(version.Caller{Config: 1, Organisation: "acme", Key: version.NewKeyDigest("key-acme-1"), HasKey: true})}, "acme", http.StatusOK},
+	} {
+		got := hop.callWith(t, http.MethodGet, "/u/1", id, append(c.headers, "Vt-Hop", "run", "Vt-Service", "u",
+			"Vt-Order", "r-u;1;900;false;false;false;false;false", "Request-Timeout-Ms", "1000", "Caller-Service", "s")...)
+		if got.status != c.status || got.status != http.StatusOK && got.header.Get(request.HeaderOutcome) != string(request.NotRun) {
+			t.Errorf("%s: status %d, want %d: %v", id, got.status, c.status, got.header)
+		}
+		if ran := recorder.check(t, id, c.organisation); (ran > 0) != (c.status == http.StatusOK) {
+			t.Errorf("%s: %d runs", id, ran)
+		}
+	}
+}
