Tests: late reports and hops for another service run nothing

Two more ways by which a request could run at a service that no configuration allows for it. Both are prevented already, by the instance that a request names, the order of reports by the start of their process, and the comparison of services at the target's node; no test showed it. Both tests pass on the code before these changes, too: they are guards, not regression tests.

--- a/gateway/reused_address_test.go
+++ b/gateway/reused_address_test.go
@@ -89,3 +89,67 @@
 		t.Errorf("%d requests count as running", running)
 	}
 }
+
+// Guards against the use of a target that is gone: a report of an earlier process arrives late, as
+// the first one of a node or after that of a target of another service at the same address.
+func TestLateReportOfAnEarlierProcessRunsNothing(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
+	n := f.addNode(testTarget{service: "s"})
+	options := standin.TargetOptions{Instance: "i-old", Service: "s", DataCentre: "z1", Slots: 8, ReportAddress: n.settings.Listen.Reports}
+	old := standin.NewTarget(options)
+	time.Sleep(2 * time.Millisecond) // processes are told apart by the millisecond of their start
+	options.Instance, options.Service = "i-new", "u"
+	next := standin.NewTarget(options)
+	if err := standin.StartServer(f.ctx, n.settings.Target, next); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the node has the configuration", func() bool { return n.config.snapshot().number() == 1 })
+	report := func(target *standin.Target, service string) {
+		t.Helper()
+		if err := target.SendReport(n.settings.Target, false); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the target is one of "+service, func() bool { return n.localTarget.state(time.Now()).Service == service })
+	}
+	report(old, "s")
+	if got := n.call(t, http.MethodPost, "/s/1", "late-first", ""); got.status != http.StatusServiceUnavailable {
+		t.Errorf("the report is the first one: status %d, want 503", got.status)
+	}
+	report(next, "u")
+	report(old, "u")
+	if got := n.call(t, http.MethodPost, "/s/1", "late-second", ""); got.status != http.StatusServiceUnavailable {
+		t.Errorf("the report comes after that of the new target: status %d, want 503", got.status)
+	}
+	if got := n.call(t, http.MethodPost, "/u/1", "for-u", ""); got.status != http.StatusOK {
+		t.Errorf("a request for u: status %d, want 200", got.status)
+	}
+	if runs := next.Runs(); len(runs) != 1 || runs[0].ID != "for-u" {
+		t.Errorf("the target of u ran %+v", runs)
+	}
+}
+
+// Guards against a sender that still takes the target of a node for one of another service, as
+// after the address of a node or of its target was used again.
+func TestHopForAnotherServiceIsNotRun(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
+	a, u := f.add(quick), f.add(testTarget{service: "u", slots: 8, work: time.Millisecond})
+	f.settled(1)
+	candidates := a.candidates("u", a.config.snapshot(), time.Now())
+	for i, service := range []string{"s", "", "U"} {
+		id, now := fmt.Sprint("id-", i), time.Now()
+		header := http.Header{platform.HeaderRequestID: {id}}
+		r := a.hopClient.run(t.Context(), &candidates[0], &targetRequest{
+			message:   exchange.Request{Method: http.MethodGet, RequestURI: "/s/1", Host: "h", Header: header, ID: id},
+			service:   service,
+			admission: gate.Request{ID: id, Kind: "r-s", Due: now.Add(time.Second), Deadline: now.Add(time.Second)},
+		})
+		if r.outcome != request.NotRun || r.reason != string(gate.RefusedOtherService) {
+			t.Errorf("service %q: outcome %q, reason %q", service, r.outcome, r.reason)
+		}
+	}
+	if runs := u.target.Runs(); len(runs) != 0 {
+		t.Errorf("the target of u ran %+v", runs)
+	}
+}
