A node sends its target only requests of the service that the target serves

Callers of one service had their requests run by a target of another one. A target may be followed by one of another service beside the same node. Until the announcement has reached the other nodes, they send that node requests of the former service, and the node passed them on: it checked that the service is in the configuration, not that its target serves it. The same happened to a request that was admitted before the announcement and sent after it, and nothing replaced the connections if the same instance announced another service.

The connections to an instance now carry the service that it announced, so the address and the service that a request is sent by can't be of two announcements. Another service is refused as not run, which a sender may try elsewhere.

--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -61,20 +61,21 @@
 }
 
 // announce processes an announcement and returns the state of the target. A new
-// instance, address or number of connections, also one from a changed limit, replaces
-// the connections.
+// service, instance, address or number of connections, also one from a changed limit,
+// replaces the connections.
 func (t *localTarget) announce(a announcement) load.State {
 	now := time.Now()
 	t.mu.Lock()
 	target := t.withinLimits(a)
-	changed := t.announced.Instance != a.Instance || t.announced.Address != a.Address || t.connections != target.Connections
+	changed := t.announced.service() != a.service() || t.announced.Instance != a.Instance ||
+		t.announced.Address != a.Address || t.connections != target.Connections
 	t.announced = a
 	t.connections = target.Connections
 	t.lastSeen = now
 	t.mu.Unlock()
 	if changed {
 		_ = level.Info(t.logger).Log("msg", "target announced", "service", a.service(), "address", a.Address, "instance", a.Instance)
-		t.connect(a.Address, target.Connections)
+		t.connect(a, target.Connections)
 	}
 	crash := t.proxy.admission.Announce(target, now)
 	t.proxy.reportCrash(crash, now)
@@ -106,8 +107,8 @@
 }
 
 // connect replaces the connections by those to a new instance of the target.
-func (t *localTarget) connect(address string, connections int) {
-	client := newTargetClient(address, connections, t.proxy.admission.SetOpenConnections)
+func (t *localTarget) connect(a announcement, connections int) {
+	client := newTargetClient(a.service(), a.Address, connections, t.proxy.admission.SetOpenConnections)
 	if old := t.proxy.client.Swap(client); old != nil {
 		old.close()
 	}
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -125,7 +125,7 @@
 		flood:              func(quarantine.Message) {},
 		onConnectionBroken: func(string) {},
 	}
-	proxy.client.Store(newTargetClient(strings.TrimPrefix(server.URL, "http://"), 20, func(int) {}))
+	proxy.client.Store(newTargetClient("org/s", strings.TrimPrefix(server.URL, "http://"), 20, func(int) {}))
 	return proxy
 }
 
--- a/node/targetclient.go
+++ b/node/targetclient.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenatrestle/process/admission"
+	"verbenatrestle/version"
 )
 
 const (
@@ -26,6 +27,8 @@
 
 // targetClient holds the connections to one instance of the target.
 type targetClient struct {
+	// service is the service that the instance announced.
+	service version.ServiceID
 	address string
 	// base is the URL of the target, without a path.
 	base string
@@ -49,8 +52,9 @@
 	opened time.Time
 }
 
-func newTargetClient(address string, connections int, onOpenCount func(open int)) *targetClient {
+func newTargetClient(service version.ServiceID, address string, connections int, onOpenCount func(open int)) *targetClient {
 	c := &targetClient{
+		service:     service,
 		address:     address,
 		base:        "http://" + address,
 		dialer:      net.Dialer{Timeout: dialTimeout},
--- a/node/targetclient_endless_test.go
+++ b/node/targetclient_endless_test.go
@@ -32,7 +32,7 @@
 			written.Add(int64(n))
 		}
 	}()
-	client := newTargetClient(listener.Addr().String(), 2, func(int) {})
+	client := newTargetClient("org/s", listener.Addr().String(), 2, func(int) {})
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, client.base, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/node/targetproxy.go
+++ b/node/targetproxy.go
@@ -80,13 +80,19 @@
 	return verdict != quarantine.Unsuspected
 }
 
-// send forwards an admitted request to the target.
+// send forwards an admitted request to the target, unless the target serves another service:
+// the sender may know an earlier announcement, and a later one may follow the admission.
 func (p *targetProxy) send(ctx context.Context, permit admission.Permit, req *bufferedRequest) result {
 	client := p.client.Load()
 	if client == nil {
 		return p.finish(permit, req, admission.NotSent, "", failed(balance.Failed,
 			newFailure(http.StatusServiceUnavailable, request.NotRun, stepTarget, p.self, "no target", nil)))
 	}
+	if client.service != req.service.ID {
+		f := newFailure(http.StatusServiceUnavailable, request.NotRun, stepTarget, p.self, "target of another service",
+			errors.Errorf("the target serves %s, the request is for %s", client.service, req.service.ID))
+		return p.finish(permit, req, admission.NotSent, "", failed(balance.Refused, withRetryAfter(f, noTargetRetryAfter)))
+	}
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	r, err := req.httpRequest(httptrace.WithClientTrace(ctx, trace), client.base, time.Now())
