Hops are refused where the nodes differ in whether the route is idempotent

A non-idempotent request could run twice while a change of its route from idempotent to non-idempotent spread. An ingress with the new configuration sends it to the owner of its key, and an owner with the old one retried it by its own configuration, as if it were idempotent, after a run of unknown end. In the same way the node beside the target let the connection repeat the request by itself. No configuration allows that: the old one runs no keys at an owner, the new one runs each key once.

Before the change the new specs failed:

does not run a request of the owner's path twice: Expected <int64>: 2 to be <= <int>: 1 does not send it to its target twice: Expected <int64>: 3 to be <= <int>: 2

A hop now says whether the route is idempotent for its sender. The receiver refuses as not run if it differs, as it does for a route that it lacks; the sender tries again until both have the same configuration. Nodes of earlier builds send no such header and are relied on as before.

--- a/node/bufferedrequest.go
+++ b/node/bufferedrequest.go
@@ -96,6 +96,7 @@
 	h.Set(request.HeaderHop, hop)
 	h.Set(request.HeaderService, string(req.service.ID))
 	h.Set(request.HeaderRoute, req.route.Name)
+	h.Set(headerIdempotent, strconv.FormatBool(req.route.Idempotent))
 	h.Set(request.HeaderCaller, string(req.caller))
 	h.Set(headerFingerprint, req.fingerprint.String())
 	if req.suspect {
@@ -110,6 +111,9 @@
 	return r, nil
 }
 
+// headerIdempotent carries whether the route is idempotent in the sender's configuration.
+const headerIdempotent = "Vt-Idempotent"
+
 // headerFingerprint carries the fingerprint of a request between nodes.
 const headerFingerprint = "Vt-Fingerprint"
 
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -90,7 +90,7 @@
 const stepReadHop = "read hop"
 
 // readRequest reads the request that another node sent. If its service or route
-// is unknown, this node's configuration is older than the sender's, so the
+// is unknown or differs, the two nodes have different configurations, so the
 // failure is temporary.
 func (s *hopServer) readRequest(r *http.Request) (*bufferedRequest, *request.Failure) {
 	refuse := func(status int, title string, err error) *request.Failure {
@@ -107,6 +107,10 @@
 		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "route unknown",
 			errors.Errorf("service %s has no route %q", service.ID, h.Get(request.HeaderRoute))), configRetryAfter)
 	}
+	if !sameIdempotence(h, route) {
+		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "route changed",
+			errors.Errorf("the sender and version %d differ in whether route %s is idempotent", s.snapshot().Version(), route.Name)), configRetryAfter)
+	}
 	deadline, err := request.NewDeadline(time.Now(), h.Get(request.HeaderTimeout), request.MaxTimeout)
 	if err != nil {
 		return nil, refuse(http.StatusBadRequest, "bad deadline", err)
@@ -141,6 +145,13 @@
 	}, nil
 }
 
+// sameIdempotence reports whether the sender's configuration agrees on whether the route is
+// idempotent, which decides on retries here. Nodes of earlier builds do not send theirs.
+func sameIdempotence(h http.Header, route *version.Route) bool {
+	sent := h.Get(headerIdempotent)
+	return sent == "" || sent == strconv.FormatBool(route.Idempotent)
+}
+
 // parseExpiry parses the value of request.HeaderExpiry, in Unix milliseconds. An
 // empty value means no expiry.
 func parseExpiry(header string) (time.Time, error) {
--- /dev/null
+++ b/node/hopversions_test.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"verbenatrestle/process/ownership"
+	"verbenatrestle/request"
+	"verbenatrestle/version"
+)
+
+// hopTo returns a function that sends requests over a hop to a node with the given
+// configuration and servers.
+func hopTo(s *version.Snapshot, owner, target requestServer) func(ctx context.Context, hop string, req *bufferedRequest) result {
+	server := httptest.NewServer(&hopServer{self: "n", peerKey: testPeerKey, snapshot: func() *version.Snapshot { return s }, owner: owner, target: target})
+	DeferCleanup(server.Close)
+	address := strings.TrimPrefix(server.URL, "http://")
+	hops := newHopClient(HopHTTP1, testPeerKey, func(string) (string, bool) { return address, true })
+	return func(ctx context.Context, hop string, req *bufferedRequest) result {
+		return hops.send(ctx, "n", hop, req)
+	}
+}
+
+// singleService returns a configuration with one service at the host org.example.
+func singleService(number uint64, service version.Service) *version.Snapshot {
+	organisation := &version.Organisation{Name: service.ID.Organisation(), Hosts: []string{"org.example"}, Services: []version.Service{service}}
+	return version.NewSnapshot(number, time.Now(), []*version.Organisation{organisation}, nil, nil)
+}
+
+// idempotentService returns a configuration in which all routes of org/s are idempotent.
+func idempotentService(number uint64) *version.Snapshot {
+	routes := slices.Clone(testRoutes)
+	for i := range routes {
+		routes[i].Idempotent = true
+	}
+	return singleService(number, version.Service{ID: "org/s", PathPrefix: "/s/", Routes: routes})
+}
+
+var _ = Describe("a node whose configuration has the route as idempotent, unlike the sender's", func() {
+	// Guards against a second run of a non-idempotent request: the owner retried by its own
+	// configuration, and the connection to the target repeated the request.
+	It("does not run a request of the owner's path twice", func() {
+		p := newPath(closeConnection, closeConnection)
+		owner := &owner{self: "n", claims: &fakeClaims{verdict: ownership.Run}, dispatch: p.dispatch.dispatch}
+		hopTo(idempotentService(2), owner, nil)(context.Background(), request.HopOwner, newTestRequest(p))
+		Expect(p.runs.Load()).To(BeNumerically("<=", 1))
+	})
+
+	It("does not send it to its target twice", func() {
+		broken := false
+		p := newPath(func(w http.ResponseWriter, r *http.Request) {
+			if broken {
+				closeConnection(w, r)
+			}
+		})
+		send := hopTo(idempotentService(2), nil, p.proxies["n0"])
+		send(context.Background(), request.HopGuard, newTestRequest(p))
+		broken = true
+		send(context.Background(), request.HopGuard, newTestRequest(p))
+		Expect(p.runs.Load()).To(BeNumerically("<=", 2))
+	})
+})
