Quota: a request waits for its token no longer than its deadline allows

Callers saw: a request with a timeout of 100 ms whose coordinator did not answer got its answer after more than half a second, and after the same time a request whose repeat needed a token. With the share of the node as a reserve such a request was even admitted and then refused by a gate, as its deadline had passed, without a Retry-After.

Cause: quotaKeeper.acquire waited for the answer or for the caller to leave, and knew no deadline.

The request is answered with 503, not-run and a Retry-After, and logged as too_late.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -94,7 +94,7 @@
 		return true
 	}
 	d.quotaRetries++
-	return d.node.quotas.acquire(ctx, d.request.admission.ID, d.request.caller, d.config) == nil
+	return d.node.quotas.acquire(ctx, d.request.admission.ID, d.request.caller, d.config, d.request.admission.Deadline) == nil
 }
 
 // chooseService returns the service for the request. If several services share
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -134,8 +134,11 @@
 // organisation.
 func (e *eventLog) beyondQuota(id string, caller version.Caller, limit quota.Limit, config uint64, result quota.Result) {
 	reason, counter := "exceeded", e.metrics.quotaExceeded
-	if result.Decision == quota.Unchecked {
+	switch result.Decision {
+	case quota.Unchecked:
 		reason, counter = "unchecked", e.metrics.quotaUnchecked
+	case quota.TooLate:
+		reason, counter = "too_late", e.metrics.quotaTooLate
 	}
 	counter.Inc(1)
 	e.journal.Log(journal.Routine, "beyond_quota", "request", id, "organisation", caller.Organisation, "reason", reason,
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -93,10 +93,11 @@
 	if !rule.Idempotent && !awaitPreceding(ctx, r.PrecedingAnswered) {
 		return n.fail(id, callerLeft())
 	}
-	if failure := n.quotas.acquire(ctx, id, caller, config); failure != nil {
+	timeout := n.timeoutOf(r, rule)
+	if failure := n.quotas.acquire(ctx, id, caller, config, r.ArrivedAt.Add(timeout)); failure != nil {
 		return n.fail(id, failure)
 	}
-	req := n.newTargetRequest(id, r, rule)
+	req := n.newTargetRequest(id, r, rule, timeout)
 	req.admission.Fingerprint = fingerprint
 	req.setCaller(caller)
 	d := &dispatch{node: n, request: req, rule: rule, config: config, started: r.ArrivedAt}
@@ -168,9 +169,8 @@
 // errCallerTimeout is logged in place of the parser's error, which quotes what the caller sent.
 var errCallerTimeout = errors.New("want a non-negative number of milliseconds, at most 24 hours")
 
-// newTargetRequest converts a caller's request. The timeout is the shorter one
-// of the route and the caller.
-func (n *Node) newTargetRequest(id string, r *pipeline.Request, rule *version.RouteRule) *targetRequest {
+// timeoutOf returns the timeout of a request, the shorter one of the route and the caller.
+func (n *Node) timeoutOf(r *pipeline.Request, rule *version.RouteRule) time.Duration {
 	timeout := defaultTimeout
 	if rule.Timeout > 0 {
 		timeout = rule.Timeout
@@ -182,6 +182,11 @@
 	if requested > 0 {
 		timeout = min(timeout, requested)
 	}
+	return timeout
+}
+
+// newTargetRequest converts a caller's request.
+func (n *Node) newTargetRequest(id string, r *pipeline.Request, rule *version.RouteRule, timeout time.Duration) *targetRequest {
 	objective := rule.LatencyObjective
 	if objective <= 0 {
 		objective = timeout
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -44,11 +44,11 @@
 	storeWentBack     metrics.Counter
 	departuresNotKept metrics.Counter
 	crashRecordsSent  metrics.Counter
-	// quotaExceeded and quotaUnchecked count requests that are not admitted because of a
-	// quota, quotaCoordinatorSilent the coordinators that did not answer, and
+	// quotaExceeded, quotaUnchecked and quotaTooLate count requests that are not admitted
+	// because of a quota, quotaCoordinatorSilent the coordinators that did not answer, and
 	// quotaMessages the messages about quotas.
-	quotaExceeded, quotaUnchecked         metrics.Counter
-	quotaCoordinatorSilent, quotaMessages metrics.Counter
+	quotaExceeded, quotaUnchecked, quotaTooLate metrics.Counter
+	quotaCoordinatorSilent, quotaMessages       metrics.Counter
 	// configOutdated is the time for which the node knew of a newer configuration
 	// before it activated one.
 	configOutdated      metrics.Timer
@@ -88,6 +88,7 @@
 
 		quotaExceeded:          counter("quota.exceeded"),
 		quotaUnchecked:         counter("quota.unchecked"),
+		quotaTooLate:           counter("quota.too-late"),
 		quotaCoordinatorSilent: counter("quota.coordinator-silent"),
 		quotaMessages:          counter("quota.messages-sent"),
 
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -72,8 +72,8 @@
 }
 
 // acquire admits a request of a caller, or returns why it is not admitted. It may wait for an
-// answer of the coordinator.
-func (q *quotaKeeper) acquire(ctx context.Context, id string, caller version.Caller, config *configSnapshot) *request.Failure {
+// answer of the coordinator, as long as time is left to run the request before its deadline.
+func (q *quotaKeeper) acquire(ctx context.Context, id string, caller version.Caller, config *configSnapshot, deadline time.Time) *request.Failure {
 	limit, limited := limitOf(config, caller.Organisation)
 	if !limited {
 		return nil
@@ -89,11 +89,13 @@
 	q.mu.Unlock()
 	q.wakeRun()
 	if !done {
-		select {
-		case result = <-answer:
-		case <-ctx.Done():
-			return callerLeft() // a token that is granted later is lost
+		result = q.await(ctx, caller.Organisation, answer, deadline.Sub(now))
+	}
+	if ctx.Err() != nil {
+		if result.Decision == quota.Admitted {
+			q.release(caller)
 		}
+		return callerLeft()
 	}
 	if result.Decision == quota.Admitted {
 		return nil
@@ -102,10 +104,26 @@
 	return quotaFailure(result)
 }
 
+// await returns the result for a request that has to wait. Remaining is the time until the
+// deadline of the request.
+func (q *quotaKeeper) await(ctx context.Context, organisation string, answer chan quota.Result, remaining time.Duration) quota.Result {
+	timer := time.NewTimer(remaining - min(minRetryTime, remaining/2))
+	defer timer.Stop()
+	select {
+	case result := <-answer:
+		return result
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ingress.GiveUp(organisation, answer)
+}
+
 // quotaFailure returns the failure of a request that is not admitted.
 func quotaFailure(result quota.Result) *request.Failure {
 	retryAfter := result.RetryAfter + time.Duration(retryAfterSpread*rand.Float64()*float64(result.RetryAfter))
-	if result.Decision == quota.Unchecked {
+	if result.Decision != quota.Exceeded {
 		return &request.Failure{
 			Status: http.StatusServiceUnavailable, Title: "the quota of the organisation can't be checked",
 			Outcome: request.NotRun, Step: "quota", RetryAfter: retryAfter,
--- a/process/quota/bounds_test.go
+++ b/process/quota/bounds_test.go
@@ -144,3 +144,34 @@
 		}
 	}
 }
+
+// The token of a request that gave up before it was granted was lost for others. It must serve
+// one of them, and only one.
+func TestTokenOfARequestThatGaveUpServesOneOther(t *testing.T) {
+	p := newPair(Limit{RatePerSecond: 10, Burst: 20})
+	first, second := make(chan Result, 1), make(chan Result, 1)
+	for _, answer := range []chan Result{first, second} {
+		if _, done := p.ingress.Take(organisation, p.limit, 3, answer, p.now); done {
+			t.Fatal("admitted without a token")
+		}
+	}
+	asks, _, _ := p.ingress.Due(3, p.now)
+	if r := p.ingress.GiveUp(organisation, first); r.Decision != TooLate || r.RetryAfter <= 0 {
+		t.Errorf("%+v for a request that gives up", r)
+	}
+	grant, _ := p.coordinator.Handle(asks[0], "a", p.limit, 3, 3, p.now)
+	p.ingress.HandleGrant(grant, p.now)
+	p.ingress.HandleGrant(grant, p.now) // a datagram may arrive twice
+	if r := p.ingress.GiveUp(organisation, second); r.Decision != Admitted {
+		t.Errorf("%+v for a request whose answer came as it gave up", r)
+	}
+	if len(first) != 0 {
+		t.Error("a result for a request that gave up")
+	}
+	if _, done := p.ingress.Take(organisation, p.limit, 3, first, p.now); !done {
+		t.Error("the unused token does not serve the next request")
+	}
+	if _, done := p.ingress.Take(organisation, p.limit, 3, first, p.now); done {
+		t.Error("the unused token serves two requests")
+	}
+}
--- a/process/quota/ingress.go
+++ b/process/quota/ingress.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Decision is the decision on a request.
 type Decision uint8
@@ -14,6 +17,8 @@
 	// Unchecked means that no coordinator answers and that the share of this node is
 	// used up.
 	Unchecked
+	// TooLate means that the request can't wait any longer for the coordinator's answer.
+	TooLate
 )
 
 // Result is the result for a request that had to wait.
@@ -107,13 +112,30 @@
 // Return gives back the token of a request that reached no target.
 func (i *Ingress) Return(organisation string, now time.Time) {
 	s := i.states[organisation]
-	if s == nil || !s.limited {
-		return
+	if s != nil && s.limited {
+		s.giveBack(1, now)
 	}
+}
+
+// giveBack keeps tokens for other requests.
+func (s *ingressState) giveBack(tokens int, now time.Time) {
 	if !now.Before(s.returnedUntil) {
 		s.returned, s.returnedUntil = 0, now.Add(tokenLifetime)
 	}
-	s.returned++
+	s.returned += tokens
+}
+
+// GiveUp ends the wait of a request. It returns the result that was sent meanwhile, or TooLate.
+func (i *Ingress) GiveUp(organisation string, result chan Result) Result {
+	select {
+	case r := <-result:
+		return r
+	default:
+	}
+	if s := i.states[organisation]; s != nil {
+		s.waiting = slices.DeleteFunc(s.waiting, func(c chan<- Result) bool { return c == result })
+	}
+	return Result{Decision: TooLate, RetryAfter: uncheckedRetryAfter}
 }
 
 // Due returns the messages to send now, the organisations whose coordinators have become
@@ -216,7 +238,12 @@
 	s.answerTime += (now.Sub(s.sentAt) - s.answerTime) / answerTimeWeight
 	s.confirmed = s.sent.Admitted
 	s.limited = g.Limited
-	s.answerWaiting(min(max(0, g.Tokens), len(s.waiting)), Result{})
+	granted := min(max(0, g.Tokens), s.sent.Wanted)
+	served := min(granted, len(s.waiting))
+	s.answerWaiting(served, Result{})
+	if unused := granted - served; unused > 0 && s.limited { // of requests that gave up
+		s.giveBack(unused, now)
+	}
 	if g.Tokens >= s.sent.Wanted {
 		return // requests that came after the message wait for the next one
 	}
