--- a/gateway/events.go
+++ b/gateway/events.go
@@ -140,8 +140,11 @@
 // organisation.
 func (e *eventLog) beyondQuota(id string, caller version.Caller, limit quota.Limit, config uint64, result quota.Result) {
 	reason, counter := "exceeded", e.metrics.quotaExceeded
-	if result.Decision == quota.Unchecked {
+	switch result.Decision {
+	case quota.Unchecked:
 		reason, counter = "unchecked", e.metrics.quotaUnchecked
+	case quota.TooLate:
+		reason, counter = "too_late", e.metrics.quotaTooLate
 	}
 	counter.Inc(1)
 	e.journal.Log(journal.Routine, "beyond_quota", "request", id, "organisation", caller.Organisation, "reason", reason,
