A node does not run what only an older configuration of the sender allows

Requests ran that the configuration in force at the node beside the target does not allow: for a host, a path or a method that was taken away, or a path that another route handles now. An ingress that has not got the change yet, or is cut off from its sources, routes by the old one. The receiver of the hop compared the names of service and route only, so it noticed a removed service or organisation and nothing else.

A hop now carries the version by which the request was routed. A node with a newer one routes the request again, which takes one look-up, and refuses it as not run if the result differs. A sender with a newer version is relied on, so that a change does not reject requests that it has just allowed. Nodes of earlier builds send no version and are relied on as before.

--- a/node/bufferedrequest.go
+++ b/node/bufferedrequest.go
@@ -24,6 +24,9 @@
 	// service and route are the result of routing the request.
 	service *version.Service
 	route   *version.Route
+	// config is the highest version of the configuration that gave this result. Zero means
+	// that the sender, a node of an earlier build, did not say.
+	config uint64
 	// caller is the service whose share of a full target the request uses.
 	caller version.ServiceID
 	// method and uri are as the caller sent them.
@@ -96,6 +99,7 @@
 	h.Set(request.HeaderHop, hop)
 	h.Set(request.HeaderService, string(req.service.ID))
 	h.Set(request.HeaderRoute, req.route.Name)
+	h.Set(headerConfig, strconv.FormatUint(req.config, 10))
 	h.Set(headerIdempotent, strconv.FormatBool(req.route.Idempotent))
 	h.Set(request.HeaderCaller, string(req.caller))
 	h.Set(headerFingerprint, req.fingerprint.String())
@@ -111,6 +115,12 @@
 	return r, nil
 }
 
+// headerConfig carries the version of the configuration by which the request was routed.
+const headerConfig = "Vt-Config"
+
+// headerForwardedHost carries the host to which the caller sent the request.
+const headerForwardedHost = "X-Forwarded-Host"
+
 // headerIdempotent carries whether the route is idempotent in the sender's configuration.
 const headerIdempotent = "Vt-Idempotent"
 
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -97,19 +97,17 @@
 		return newFailure(status, request.NotRun, stepReadHop, s.self, title, err)
 	}
 	h := r.Header
-	service := s.snapshot().Service(version.ServiceID(h.Get(request.HeaderService)))
-	if service == nil {
-		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "service unknown",
-			errors.Errorf("no service %q in version %d", h.Get(request.HeaderService), s.snapshot().Version())), configRetryAfter)
+	snapshot := s.snapshot()
+	config, err := parseConfig(h.Get(headerConfig))
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "bad version", err)
 	}
-	route := service.RouteByName(h.Get(request.HeaderRoute))
-	if route == nil {
-		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "route unknown",
-			errors.Errorf("service %s has no route %q", service.ID, h.Get(request.HeaderRoute))), configRetryAfter)
+	service, route, err := confirmRoute(snapshot, config, r)
+	if err != nil {
+		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "not in the configuration", err), configRetryAfter)
 	}
-	if !sameIdempotence(h, route) {
-		return nil, withRetryAfter(refuse(http.StatusServiceUnavailable, "route changed",
-			errors.Errorf("the sender and version %d differ in whether route %s is idempotent", s.snapshot().Version(), route.Name)), configRetryAfter)
+	if config > 0 {
+		config = max(config, snapshot.Version())
 	}
 	deadline, err := request.NewDeadline(time.Now(), h.Get(request.HeaderTimeout), request.MaxTimeout)
 	if err != nil {
@@ -131,6 +129,7 @@
 		id:          h.Get(request.HeaderRequestID),
 		service:     service,
 		route:       route,
+		config:      config,
 		caller:      version.ServiceID(h.Get(request.HeaderCaller)),
 		method:      r.Method,
 		uri:         r.URL.RequestURI(),
@@ -145,6 +144,45 @@
 	}, nil
 }
 
+// confirmRoute returns the service and the route that the sender named. It returns an error
+// if this node's configuration lacks them, differs in whether the route is idempotent, or is
+// newer than the sender's and routes the request otherwise.
+func confirmRoute(snapshot *version.Snapshot, config uint64, r *http.Request) (*version.Service, *version.Route, error) {
+	id, name := r.Header.Get(request.HeaderService), r.Header.Get(request.HeaderRoute)
+	service := snapshot.Service(version.ServiceID(id))
+	if service == nil {
+		return nil, nil, errors.Errorf("no service %q in version %d", id, snapshot.Version())
+	}
+	route := service.RouteByName(name)
+	if route == nil {
+		return nil, nil, errors.Errorf("service %s has no route %q in version %d", id, name, snapshot.Version())
+	}
+	if !sameIdempotence(r.Header, route) {
+		return nil, nil, errors.Errorf("the sender and version %d differ in whether route %s is idempotent", snapshot.Version(), name)
+	}
+	if config == 0 || config >= snapshot.Version() {
+		return service, route, nil
+	}
+	own, ownRoute, err := snapshot.Route(r.Header.Get(headerForwardedHost), r.Method, r.URL.Path)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "version %d of the sender is older than %d", config, snapshot.Version())
+	}
+	if own.ID != service.ID || ownRoute.Name != name {
+		return nil, nil, errors.Errorf("version %d of the sender routes to %s %s, version %d to %s %s",
+			config, id, name, snapshot.Version(), own.ID, ownRoute.Name)
+	}
+	return service, route, nil
+}
+
+// parseConfig parses the value of headerConfig. An empty value means an unknown version.
+func parseConfig(header string) (uint64, error) {
+	if header == "" {
+		return 0, nil
+	}
+	config, err := strconv.ParseUint(header, 10, 64)
+	return config, errors.Wrap(err, "parse version")
+}
+
 // sameIdempotence reports whether the sender's configuration agrees on whether the route is
 // idempotent, which decides on retries here. Nodes of earlier builds do not send theirs.
 func sameIdempotence(h http.Header, route *version.Route) bool {
--- a/node/hopversions_test.go
+++ b/node/hopversions_test.go
@@ -67,3 +67,47 @@
 		Expect(p.runs.Load()).To(BeNumerically("<=", 2))
 	})
 })
+
+var _ = Describe("a node with another configuration than the ingress", func() {
+	lookup := version.Service{ID: "org/s", PathPrefix: "/s/", Routes: []version.Route{
+		{Name: "lookup", Methods: []string{"GET"}, PathPrefix: "/s/", Idempotent: true, Timeout: 2 * time.Second}}}
+	change := func(f func(*version.Service)) version.Service {
+		changed := lookup
+		changed.Routes = slices.Clone(lookup.Routes)
+		f(&changed)
+		return changed
+	}
+
+	// Guards against runs that only an outdated ingress allows: the node beside the target
+	// compared the names of service and route, not what they match.
+	DescribeTable("runs what the newer of both allows",
+		func(there version.Service, host string, number uint64, status int) {
+			p := newPath()
+			here := singleService(2, lookup)
+			p.ingress.snapshot = func() *version.Snapshot { return here }
+			organisation := &version.Organisation{Name: there.ID.Organisation(), Hosts: []string{host}, Services: []version.Service{there}}
+			recorder := &recordingServer{}
+			send := hopTo(version.NewSnapshot(number, time.Now(), []*version.Organisation{organisation}, nil, nil), nil, recorder)
+			p.ingress.idempotent = func(ctx context.Context, req *bufferedRequest) result { return send(ctx, request.HopGuard, req) }
+			got, header, _ := p.get("/s/peaks")
+			Expect(got).To(Equal(status))
+			if status == http.StatusOK {
+				Expect(recorder.last).NotTo(BeNil())
+				return
+			}
+			Expect(recorder.last).To(BeNil(), "the request was run")
+			Expect(header.Get(request.HeaderOutcome)).To(Equal(string(request.NotRun)))
+			Expect(header.Get("Retry-After")).NotTo(BeEmpty())
+		},
+		Entry("the same", lookup, "org.example", uint64(3), http.StatusOK),
+		Entry("service removed", change(func(s *version.Service) { s.ID = "org/t" }), "org.example", uint64(3), http.StatusServiceUnavailable),
+		Entry("organisation removed", change(func(s *version.Service) { s.ID = "other/s" }), "org.example", uint64(3), http.StatusServiceUnavailable),
+		Entry("host removed", lookup, "new.example", uint64(3), http.StatusServiceUnavailable),
+		Entry("path moved", change(func(s *version.Service) { s.Routes[0].PathPrefix = "/s/lakes" }), "org.example", uint64(3), http.StatusServiceUnavailable),
+		Entry("method removed", change(func(s *version.Service) { s.Routes[0].Methods = []string{"HEAD"} }), "org.example", uint64(3), http.StatusServiceUnavailable),
+		Entry("path handled by another route", change(func(s *version.Service) {
+			s.Routes = append(s.Routes, version.Route{Name: "peaks", Methods: []string{"GET"}, PathPrefix: "/s/peaks", Idempotent: true})
+		}), "org.example", uint64(3), http.StatusServiceUnavailable),
+		Entry("path not yet added", change(func(s *version.Service) { s.Routes[0].PathPrefix = "/s/lakes" }), "org.example", uint64(1), http.StatusOK),
+	)
+})
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -136,6 +136,7 @@
 		id:        id,
 		service:   service,
 		route:     route,
+		config:    snapshot.Version(),
 		caller:    g.localService(),
 		method:    r.Method,
 		uri:       r.URL.RequestURI(),
@@ -145,7 +146,7 @@
 		deadline:  deadline,
 		waitToken: &waitToken{},
 	}
-	req.header.Set("X-Forwarded-Host", r.Host)
+	req.header.Set(headerForwardedHost, r.Host)
 	req.fingerprint = request.NewFingerprint(req.method, string(service.ID)+req.uri, body)
 	return req, nil
 }
