Retry budget: a fifth of the slack only after one process, and at once

Callers whose idempotent request lost its response right after a node had been restarted got 502 although the budget had room: the restarted node refused the retry. And processes that were killed more than once within the window of 10 s had a fifth of their part each time, so that a service could get more retries than its budget allows.

Cause: a new process knew nothing of those before it. It took a fifth of its part in any case, and only after the count of the peers each 0.5 s.

Now statuses say whether a gate has its whole slack, and a peer tells a new process if the one before had it: then those before that one ended longer than a window ago, and a fifth is safe. Peers say so in the status with which they answer the first message of a new process, and targets are counted with each list of the nodes, so that it has the fifth within milliseconds. Otherwise a process has no slack for one window, also a new node, and all nodes after a kill of all. A status has 2 bytes more, and 8 more for a window after a restart (measured: 30, 32, 40 bytes for one that is nearly empty).

TestReplacedProcessesStayWithinRetryBudget and TestRestartedNodeWaitsForItsPeersBeforeItUsesSlack would pass for lack of any slack; their new processes are confirmed now, so that they check what they did. The second fails without its condition, as before.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -226,6 +226,7 @@
 			HopAddress: record.Hop, DatagramAddress: record.Peers,
 		}, now)
 	}
+	s.node.localTarget.countPeers(now)
 	s.node.peers.selectPeers()
 	s.node.peers.requestBroadcast()
 }
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -321,18 +322,35 @@
 
 // sweep closes idle connections and counts the targets beside the other nodes.
 func (t *localTarget) sweep(now time.Time) {
-	window := t.node.settings().Limits.retryBudget().Window
-	targets := t.node.fleet.PeerTargets(t.state(now).Service, window, now)
+	t.countPeers(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if targets.Targets > 0 || !now.Before(t.node.slackFrom()) { // else peers may not be known yet
-		t.gate.SetPeerTargets(targets)
-	}
 	if t.pool != nil {
 		t.pool.CloseExpired(now)
 	}
 }
 
+// countPeers counts the targets beside the other nodes. Until the target has reported, its
+// service is that of the settings.
+func (t *localTarget) countPeers(now time.Time) {
+	settings := t.node.settings()
+	service := cmp.Or(t.state(now).Service, settings.Service)
+	targets := t.node.fleet.PeerTargets(service, settings.Limits.retryBudget().Window, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if targets.Targets > 0 || !now.Before(t.node.slackFrom()) { // else peers may not be known yet
+		t.gate.SetPeerTargets(targets)
+	}
+}
+
+// confirmOneProcessBefore records that the process of this node before had the whole slack of
+// the retry budget.
+func (t *localTarget) confirmOneProcessBefore() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gate.ConfirmOneProcessBefore()
+}
+
 // setRetryBudget changes the retry budget.
 func (t *localTarget) setRetryBudget(limits Limits) {
 	t.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -163,7 +163,7 @@
 // sendTo sends a recipient the status, or a heartbeat with its load.
 func (p *statusExchange) sendTo(r *fleet.Recipient, status *fleet.Status) {
 	if r.FullStatus {
-		status.EchoMillis, status.Wanted = r.EchoMillis, r.Wanted
+		status.EchoMillis, status.Wanted, status.AfterWholeSlack = r.EchoMillis, r.Wanted, r.AfterWholeSlack
 		p.write(r.DatagramAddress, status)
 		return
 	}
@@ -225,7 +225,7 @@
 		ReachesStore:        reachesStore,
 		Watchers:            p.node.fleet.WatcherMarks(settings.Name, reachesStore, p.node.store.maxWatchers(), now),
 		ConfigNumber:        config.number(), OutRevision: outRevision, DataCentresOut: dataCentresOut,
-		CountsQuotas: true,
+		CountsQuotas: true, WholeSlack: !now.Before(p.node.slackFrom()),
 	}
 }
 
@@ -278,6 +278,9 @@
 		p.node.crashes.welcome(from)
 		p.node.departures.welcome(status.Node, from)
 	}
+	if status.AfterWholeSlack == p.incarnation {
+		p.node.localTarget.confirmOneProcessBefore()
+	}
 	config := p.node.config.snapshot()
 	p.node.store.eraRose(store.VersionEra(status.OutRevision), status.Node)
 	p.node.config.updateFromPeer(status.DataCentresOut, status.OutRevision, status.Node, time.Now())
--- /dev/null
+++ b/gateway/retrybudget_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"verbenatrestle/platform"
+	"verbenatrestle/platform/standin"
+)
+
+// loseFirst makes the targets beside the nodes lose the response to the first send of each
+// request. It returns a function that returns the number of sends of a request there.
+func loseFirst(nodes ...*testNode) (sends func(id string) int) {
+	var mu sync.Mutex
+	counts := make(map[string]int)
+	for _, n := range nodes {
+		n.target.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			id := r.Header.Get(platform.HeaderRequestID)
+			mu.Lock()
+			counts[id]++
+			first := counts[id] == 1
+			mu.Unlock()
+			if first {
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	return func(id string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return counts[id]
+	}
+}
+
+// A node is restarted while all others run on, and the budget of the service has room. Callers
+// whose idempotent requests lost their response within half a second got 502: the restarted
+// node refused the retries.
+func TestLostResponsesAreRepeatedAfterRestartOfOneNode(t *testing.T) {
+	for targets, lost := range map[int]int{2: 1} {
+		t.Run(fmt.Sprintf("%d targets, %d lost responses", targets, lost), func(t *testing.T) {
+			f := newTestFleet(t)
+			f.adjust = func(s *Settings) { s.FirstStart = true }
+			f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+			for range targets {
+				f.add(quick)
+			}
+			f.settled(1)
+			restarted, ingress := f.nodes[0], f.nodes[1]
+			sends := loseFirst(f.nodes[1:]...) // their retries reach the restarted node or the third
+			restarted.settings.FirstStart = false
+			f.restart(restarted)
+			f.settled(1)
+			for i, seen := 0, 0; seen < lost; i++ {
+				id := fmt.Sprint("r", i)
+				got := ingress.call(t, http.MethodGet, "/s/1", id, "")
+				if got.status != http.StatusOK {
+					t.Fatalf("%d, %v after the restart", got.status, time.Since(restarted.startedAt))
+				}
+				if sends(id) > 0 {
+					seen++
+				}
+			}
+		})
+	}
+}
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -123,6 +123,7 @@
 		n := f.add(quick)
 		eventually(t, "the target is known", func() bool { return n.localTarget.state(time.Now()).Accepting })
 		time.Sleep(2 * sweepInterval)
+		n.localTarget.confirmOneProcessBefore()
 		now := time.Now()
 		n.localTarget.mu.Lock()
 		decision := n.localTarget.gate.Admit(gate.Request{ID: "r", Kind: "k", Retry: true, Due: now.Add(time.Second), Deadline: now.Add(time.Second)}, now)
--- a/process/fleet/recipients.go
+++ b/process/fleet/recipients.go
@@ -36,9 +36,10 @@
 	DatagramAddress string
 	// FullStatus means that the message is a status, not a heartbeat.
 	FullStatus bool
-	// EchoMillis and Wanted are as in Status.
-	EchoMillis int
-	Wanted     bool
+	// EchoMillis, Wanted and AfterWholeSlack are as in Status.
+	EchoMillis      int
+	Wanted          bool
+	AfterWholeSlack uint64
 }
 
 // Recipients appends the peers that are sent a message on this occasion to those in
@@ -115,6 +116,9 @@
 	if !p.ReceivedAt.IsZero() {
 		r.EchoMillis = max(0, int(now.Sub(p.ReceivedAt).Milliseconds()))
 	}
+	if p.afterWholeSlack && !p.Status.WholeSlack {
+		r.AfterWholeSlack = p.Status.Incarnation
+	}
 	return r
 }
 
--- a/process/fleet/status.go
+++ b/process/fleet/status.go
@@ -60,6 +60,12 @@
 	// CountsQuotas is set if the node can be the coordinator of organisations. Nodes of
 	// earlier builds can't.
 	CountsQuotas bool
+	// WholeSlack is set once the gate of the node has its whole part of the retry budget's
+	// slack: no earlier process of the node used it within the window.
+	WholeSlack bool
+	// AfterWholeSlack is the incarnation of the receiver if that of its process before had
+	// WholeSlack, as far as the sender knows, and zero otherwise or once it is of no use.
+	AfterWholeSlack uint64
 }
 
 // ColdRemaining returns how much longer the target is cold, as of the status.
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -44,6 +44,8 @@
 	avoidConfigUntil time.Time
 	// formerIncarnations holds incarnations that ended, the latest last.
 	formerIncarnations []uint64
+	// afterWholeSlack is set if the latest of them had Status.WholeSlack.
+	afterWholeSlack bool
 	// inFlight counts the requests of this node that are in flight to the peer.
 	inFlight int
 	// pair is the hash of the names of both nodes, as pairHash returns it.
@@ -154,6 +156,7 @@
 		p.formerIncarnations = append(p.formerIncarnations, p.Status.Incarnation)
 		p.formerIncarnations = p.formerIncarnations[max(0, len(p.formerIncarnations)-maxFormerIncarnations):]
 		p.avoidUntil = time.Time{}
+		p.afterWholeSlack = p.Status.WholeSlack
 	}
 	// Two nodes must not be kept at one address: the datagrams meant for the old one
 	// would reach the new one as well. Their echo is the time since the old one last
--- a/process/gate/budget.go
+++ b/process/gate/budget.go
@@ -37,15 +37,23 @@
 }
 
 // slack returns the part of the retry budget's slack that this target has. It is zero until
-// the number of targets is known. Before SlackFrom it is what safetyFactor leaves unused,
-// since an earlier process of the node may have used the rest.
+// the number of targets is known. Before SlackFrom it is what safetyFactor leaves unused if
+// only one earlier process of the node may have used the rest, and zero if there may have
+// been more.
 func (g *Gate) slack(now time.Time) float64 {
 	if g.serviceTargets == 0 {
 		return 0
 	}
 	slack := g.settings.RetryBudget.Slack / float64(g.serviceTargets)
-	if now.Before(g.settings.SlackFrom) {
-		slack *= (1 - safetyFactor) / safetyFactor
+	switch {
+	case !now.Before(g.settings.SlackFrom):
+		return slack
+	case g.followsWholeSlack:
+		return slack * (1 - safetyFactor) / safetyFactor
 	}
-	return slack
+	return 0
 }
+
+// ConfirmOneProcessBefore records that the process of the node before this one had the whole
+// slack, so that those before it ended longer than a window ago.
+func (g *Gate) ConfirmOneProcessBefore() { g.followsWholeSlack = true }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -77,6 +77,8 @@
 	// serviceTargets is the number of targets of the service, this one included, or zero
 	// if it is not known yet.
 	serviceTargets int
+	// followsWholeSlack is set if ConfirmOneProcessBefore was called.
+	followsWholeSlack bool
 
 	// seen remembers the non-idempotent and the fenced requests.
 	seen         seenRequests
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -389,6 +389,7 @@
 					continue
 				}
 				g = newProcess(now.Add(budget.Window)) // it knows no peers yet
+				g.ConfirmOneProcessBefore()
 				replaceable = now.Add(budget.Window)
 			case 1:
 				g.SetPeerTargets(PeerTargets{Targets: targets - 1})
