--- a/process/gate/budget.go
+++ b/process/gate/budget.go
@@ -37,15 +37,32 @@
 }
 
 // slack returns the part of the retry budget's slack that this target has. It is zero until
-// the number of targets is known. Before SlackFrom it is what safetyFactor leaves unused,
-// since an earlier process of the node may have used the rest.
+// the number of targets is known. Before SlackFrom it is what safetyFactor leaves unused if
+// only one earlier process of the node may have used the rest, and zero if there may have
+// been more.
 func (g *Gate) slack(now time.Time) float64 {
 	if g.serviceTargets == 0 {
 		return 0
 	}
 	slack := g.settings.RetryBudget.Slack / float64(g.serviceTargets)
+	switch {
+	case !now.Before(g.settings.SlackFrom):
+		return slack
+	case g.followsWholeSlack:
+		return slack * (1 - safetyFactor) / safetyFactor
+	}
+	return 0
+}
+
+// ConfirmOneProcessBefore records that the process of the node before this one had the whole
+// slack, so that those before it ended longer than a window ago.
+func (g *Gate) ConfirmOneProcessBefore() { g.followsWholeSlack = true }
+
+// budgetRetryAfter returns the RetryAfter of a refusal by the retry budget. Before SlackFrom
+// it is zero: the gates of other targets may have the slack that this one lacks.
+func (g *Gate) budgetRetryAfter(now time.Time) time.Duration {
 	if now.Before(g.settings.SlackFrom) {
-		slack *= (1 - safetyFactor) / safetyFactor
+		return 0
 	}
-	return slack
+	return minRetryAfter
 }
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -77,6 +77,8 @@
 	// serviceTargets is the number of targets of the service, this one included, or zero
 	// if it is not known yet.
 	serviceTargets int
+	// followsWholeSlack is set if ConfirmOneProcessBefore was called.
+	followsWholeSlack bool
 
 	// seen remembers the non-idempotent and the fenced requests.
 	seen         seenRequests
@@ -176,7 +178,7 @@
 	case !req.Deadline.After(now):
 		return RefusedLate, minRetryAfter
 	case req.Retry && !g.allowsRetry(req, now):
-		return RefusedRetryBudget, minRetryAfter
+		return RefusedRetryBudget, g.budgetRetryAfter(now)
 	}
 	if req.NonIdempotent {
 		return g.seen.precheck(req.ID)
