Number statuses in the order of the states that they hold

Callers saw: 503 although a target had free slots, for up to a second after its start or another change of its acceptance, at single nodes; longer at peers that get statuses only.

Cause: a status was put together in steps, the state of the target first and the sequence number last. The reply to a peer that has started and the broadcast on a change run in two goroutines. If one was descheduled between the steps, the older state got the higher number, and the peer kept "not accepting" until the next status was due: heartbeats carry no acceptance, and the broadcast saw no further change.

Change: one lock around reading the state and taking the number.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/netip"
 	"slices"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,8 +60,10 @@
 	// broadcast. Only the goroutine of send uses them.
 	lastStatus fleet.Status
 	recipients []fleet.Recipient
-	// sequence numbers the messages of this incarnation.
-	sequence atomic.Uint64
+	// statusMu orders statuses: one with a higher sequence number must not hold an older
+	// state. It guards sequence, which numbers the messages of this incarnation.
+	statusMu sync.Mutex
+	sequence uint64
 }
 
 // newStatusExchange returns an exchange. The incarnation must differ between
@@ -209,13 +211,16 @@
 
 // status returns the current status of this node.
 func (p *statusExchange) status(now time.Time) fleet.Status {
+	p.statusMu.Lock()
+	defer p.statusMu.Unlock()
+	p.sequence++
 	settings := p.node.settings()
 	reachesStore := p.node.store.reachable.Load()
 	state := p.node.localTarget.state(now)
 	config := p.node.config.snapshot()
 	dataCentresOut, outRevision := p.node.config.ordersForPeers(now)
 	return fleet.Status{
-		Node: settings.Name, Incarnation: p.incarnation, Sequence: p.sequence.Add(1),
+		Node: settings.Name, Incarnation: p.incarnation, Sequence: p.sequence,
 		DataCentre: settings.DataCentre, HopAddress: settings.hopAddress(), Stopping: p.node.stopping.Load(),
 		Service: state.Service, Instance: state.Instance, Slots: state.Slots,
 		Running: state.Running, Waiting: state.Waiting, Slowdown: state.Slowdown, Accepting: state.Accepting,
