Soak: count the crashes of each caller's request on their own

Change: the limits hold for each calling service, path and body. So that a wrong caller can't split the count, all requests that were sent to one node must run for one calling service, which was not checked before.

Evidence: TestCheckPoisonCountsEachCallersRequest on the code before: "each keeps its limits: "poison: the request crashed 6 more targets from 3s after the third crash on", want """, and "a node that changes callers: "", want "caller"". It passes now, with the package's tests and -race.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
-	"sort"
 	"strings"
 	"time"
 )
@@ -13,17 +11,9 @@
 // still receive requests. The users of the platform set this limit.
 const maxDrainDelay = 2 * time.Second
 
-const (
-	// maxActivationDelay is how long after its acknowledgement a configuration may take to
-	// be active on all nodes. The users of the platform set this limit.
-	maxActivationDelay = 2 * time.Second
-	// crashesBeforeQuarantine, quarantineDelay and maxLateCrashes bound the runs of a
-	// request that crashes targets: at most maxLateCrashes later than quarantineDelay
-	// after crash number crashesBeforeQuarantine. The users of the platform set them.
-	crashesBeforeQuarantine = 3
-	quarantineDelay         = 3 * time.Second
-	maxLateCrashes          = 3
-)
+// maxActivationDelay is how long after its acknowledgement a configuration may take to
+// be active on all nodes. The users of the platform set this limit.
+const maxActivationDelay = 2 * time.Second
 
 // Result is the result of checking the records of a soak.
 type Result struct {
@@ -72,6 +62,7 @@
 			}
 		}
 	}
+	result.checkCallerServices(callers, runsByID)
 	result.checkPoison(callers, runs)
 	result.checkQuota(runs)
 	for id, runsOfID := range runsByID {
@@ -149,29 +140,6 @@
 	}
 }
 
-// checkPoison checks that a request that crashes targets is kept from them in time.
-func (r *Result) checkPoison(callers []CallerRecord, runs []RunRecord) {
-	poison := make(map[string]bool)
-	for i := range callers {
-		poison[callers[i].ID] = callers[i].Poison
-	}
-	var crashes []int64
-	for _, run := range runs {
-		if poison[run.ID] {
-			crashes = append(crashes, run.StartMillis)
-		}
-	}
-	slices.Sort(crashes)
-	if len(crashes) < crashesBeforeQuarantine {
-		return
-	}
-	limit := crashes[crashesBeforeQuarantine-1] + quarantineDelay.Milliseconds()
-	late := len(crashes) - sort.Search(len(crashes), func(i int) bool { return crashes[i] > limit })
-	if late > maxLateCrashes {
-		r.addViolation("poison: the request crashed %d more targets from %v after the third crash on", late, quarantineDelay)
-	}
-}
-
 // checkResponse checks a successful response: it must be the complete response
 // of a target to this request.
 func (r *Result) checkResponse(c *CallerRecord, runs []RunRecord) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -282,3 +282,43 @@
 		}
 	}
 }
+
+// The check counted the crashes of one path and body under two callers as those of one request,
+// and failed runs in which each of the two kept its limits. The limits hold for each of them, and
+// a node must not name another caller to escape them.
+func TestCheckPoisonCountsEachCallersRequest(t *testing.T) {
+	for name, test := range map[string]struct {
+		late   int
+		caller func(node string) string
+		want   string
+	}{
+		"each keeps its limits":         {maxLateCrashes, func(node string) string { return "of-" + node }, ""},
+		"each exceeds its limits":       {maxLateCrashes + 1, func(node string) string { return "of-" + node }, "poison"},
+		"the same caller at both nodes": {maxLateCrashes, func(string) string { return "of-both" }, "poison"},
+		"no caller":                     {maxLateCrashes, func(string) string { return "" }, "poison"},
+		"a node that changes callers":   {0, nil, "caller"},
+	} {
+		callers, runs := recoveryRecords()
+		add := func(node string, at int64) {
+			id := fmt.Sprint("poison-", len(runs))
+			caller := id
+			if test.caller != nil {
+				caller = test.caller(node)
+			}
+			callers = append(callers, CallerRecord{ID: id, Node: node, ExpectedBody: "x", Poison: true, Key: KeyLasting, Organisation: "o"})
+			runs = append(runs, RunRecord{ID: id, Request: "x", CallerService: caller, StartMillis: at, Organisations: []string{"o"}})
+		}
+		for _, node := range []string{"a", "b"} {
+			for range crashesBeforeQuarantine {
+				add(node, 100)
+			}
+			for range test.late {
+				add(node, 101+quarantineDelay.Milliseconds())
+			}
+		}
+		got := strings.Join(CheckRecords(callers, runs, 1000).Violations, "; ")
+		if test.want == "" && got != "" || !strings.Contains(got, test.want) {
+			t.Errorf("%s: %q, want %q", name, got, test.want)
+		}
+	}
+}
