Node records: a write over another version keeps the crashes it holds

Callers would see: targets crash again under a request that was quarantined before all nodes were killed.

The node that starts reads it from a list that may be some seconds old, and the last write of its killed process may arrive later still. Its next write then conflicts, and was repeated over the stored version without a look at it, so the store lost the crashes; the node itself never learnt of them before its next list.

--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -179,20 +179,16 @@
 }
 
 // writeRecord writes the record of this node. After a conflict it writes once
-// more over the version that is stored.
+// more over the version that is stored, with the crashes that this one holds.
 func (s *storeSync) writeRecord(ctx context.Context) error {
-	record, err := json.Marshal(s.ownRecord())
-	if err != nil {
-		return errors.Wrap(err, "encode node record")
-	}
-	key := platform.PrefixNodes + s.node.settings().Name
 	if s.recordLost.Swap(false) {
 		s.recordVersion = 0
 	}
-	version, err := s.client.Put(ctx, key, record, s.recordVersion)
+	version, err := s.putRecord(ctx, s.recordVersion)
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
-		version, err = s.client.Put(ctx, key, record, conflict.Version)
+		s.restoreOwnCrashes(conflict)
+		version, err = s.putRecord(ctx, conflict.Version)
 	}
 	if err != nil {
 		return err
@@ -201,6 +197,31 @@
 	return nil
 }
 
+// putRecord writes the record of this node over a version and returns the new one.
+func (s *storeSync) putRecord(ctx context.Context, over uint64) (uint64, error) {
+	record, err := json.Marshal(s.ownRecord())
+	if err != nil {
+		return 0, errors.Wrap(err, "encode node record")
+	}
+	return s.client.Put(ctx, platform.PrefixNodes+s.node.settings().Name, record, over)
+}
+
+// restoreOwnCrashes adds the crashes that the stored record of this node holds. An earlier
+// process may have written it after this one read its first list.
+func (s *storeSync) restoreOwnCrashes(conflict *store.ConflictError) {
+	if conflict.Version == 0 {
+		return // there is no object
+	}
+	name := s.node.settings().Name
+	record, err := decodeRecord(conflict.Value)
+	if err == nil {
+		err = s.node.crashes.restore(name, record.Crashes)
+	}
+	if err != nil {
+		s.node.events.badMessage("node_record", platform.PrefixNodes+name, err) // the next write replaces it
+	}
+}
+
 // addDiscovered adds the nodes of a list to the known peers and sends them a
 // status. It also restores the crashes that the records hold.
 func (s *storeSync) addDiscovered(objects []store.Object) {
