--- a/gateway/burst_test.go
+++ b/gateway/burst_test.go
@@ -14,13 +14,10 @@
 	"verbenatrestle/process/fleet"
 )
 
-// A small service receives as many requests at once as its targets have slots
-// and queue places. Requests that were declined by busy targets must be able
-// to return and wait in their queues.
-//
-// Neither a peer that is silent nor an objective that can't be met may decide the result:
-// both come from a machine that stops the whole test for seconds.
-func TestBurstFillsTheQueuesOfASmallService(t *testing.T) {
+// Guards the queues of a small service as TestBurstFillsTheQueuesOfASmallService does, where
+// the machine stops the whole test for seconds: neither a silent peer nor an objective that
+// can't be met decides the result.
+func TestBurstFillsTheQueuesOnASlowMachine(t *testing.T) {
 	const targets, patience = 3, 20 * time.Second
 	f := newTestFleet(t)
 	f.prepare = func(n *Node) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -267,6 +267,43 @@
 	}
 }
 
+// A small service receives as many requests at once as its targets have slots
+// and queue places. Requests that were declined by busy targets must be able
+// to return and wait in their queues.
+func TestBurstFillsTheQueuesOfASmallService(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	const targets = 3
+	for range targets {
+		f.add(testTarget{service: "s", slots: 1, work: 100 * time.Millisecond})
+	}
+	f.settled(1)
+	for round := range 5 {
+		failed := make(chan string, 2*targets)
+		for i := range cap(failed) {
+			go func() {
+				id := fmt.Sprintf("%d-%d", round, i)
+				if status := f.nodes[0].call(t, http.MethodGet, "/s/1", id, "").status; status != http.StatusOK {
+					failed <- fmt.Sprintf("%s: status %d", id, status)
+					return
+				}
+				failed <- ""
+			}()
+		}
+		complete := true
+		for range cap(failed) {
+			if failure := <-failed; failure != "" {
+				t.Error(failure)
+				complete = false
+			}
+		}
+		if !complete {
+			f.logLines(fmt.Sprintf(`"request":"%d-`, round))
+			return
+		}
+	}
+}
+
 // When a caller closes its connection, the slot of its request has to be freed.
 func TestCallerDisconnectFreesTheTarget(t *testing.T) {
 	f := newTestFleet(t)
