A planned stop resets no connection that a caller has just opened

Callers that opened a connection while a node stopped as planned could get "connection reset by peer" for a request that they had sent. The kernel completes a handshake between the last accept and the shutdown of the listening socket, and resets it. To accept until the queue is empty and to shut down at once makes that time short, but not zero.

The listener now ignores packets that begin a handshake (SYN without ACK), by a filter on the socket, waits 300 ms for handshakes that have begun, accepts what is queued, and shuts down. Nothing can complete after the last accept any more. A caller whose packet is ignored sends it again after a second and is refused then, which says that nothing was sent; before, it was refused at once.

Listeners of nodes are now opened without multipath TCP.

--- a/node/callerconns.go
+++ b/node/callerconns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +20,10 @@
 	// before a stopping node closes it. It is well above the time that a request
 	// takes from the caller to the handler on a busy VM.
 	unusedBeforeClose = time.Second
+	// handshakeWait is how long a stopping node waits for handshakes that have begun
+	// when it stops taking new ones. It is above the round trip of a caller and below
+	// the second after which a caller begins again, which is then refused at once.
+	handshakeWait = 300 * time.Millisecond
 	// unusedPoll is the interval at which a stopping node checks its connections.
 	unusedPoll = 20 * time.Millisecond
 )
@@ -29,10 +34,68 @@
 	*net.TCPListener
 }
 
-// drain makes Accept return the connections in the accept queue and then
-// net.ErrClosed.
-func (l *drainingListener) drain() error {
-	return errors.Wrapf(l.SetDeadline(time.Now()), "drain listener %s", l.Addr())
+// listenDraining opens a listener. It has no multipath TCP, whose sockets take no filter.
+func listenDraining(address string) (*drainingListener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &drainingListener{TCPListener: listener.(*net.TCPListener)}, nil
+}
+
+// drain makes the kernel ignore new handshakes, waits for those that have begun, and then
+// makes Accept return the connections in the accept queue and then net.ErrClosed. A handshake
+// that ended between the last accept and the close of the socket would be reset, and with it
+// a request that the caller has sent. A caller whose handshake is ignored begins again and
+// is refused. If the filter can't be set, drain goes on without it and returns the error.
+func (l *drainingListener) drain(ctx context.Context) error {
+	err := l.ignoreHandshakes()
+	wait.For(ctx, handshakeWait)
+	if deadlineErr := l.SetDeadline(time.Now()); deadlineErr != nil {
+		err = deadlineErr
+	}
+	return errors.Wrapf(err, "drain listener %s", l.Addr())
+}
+
+// ignoreHandshakes makes the kernel drop the first packet of a handshake.
+func (l *drainingListener) ignoreHandshakes() error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	filter := firstPacketFilter()
+	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+	var filterErr error
+	err = raw.Control(func(fd uintptr) {
+		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	if err == nil {
+		err = filterErr
+	}
+	return err
+}
+
+const (
+	// tcpFlagsOffset is the offset of the flags in the TCP header, in bytes.
+	tcpFlagsOffset = 13
+	tcpFlagSYN     = 0x02
+	tcpFlagACK     = 0x10
+	// wholePacket is the length that a filter returns to keep a packet.
+	wholePacket = math.MaxUint32
+)
+
+// firstPacketFilter returns the socket filter that drops packets with the flag SYN and
+// without ACK, which begin handshakes, and keeps all others.
+func firstPacketFilter() []unix.SockFilter {
+	return []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+		{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: tcpFlagSYN | tcpFlagACK},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: tcpFlagSYN},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: wholePacket},
+	}
 }
 
 // Accept returns the next connection, or net.ErrClosed once the listener is
--- a/node/servers.go
+++ b/node/servers.go
@@ -116,13 +116,12 @@
 	all := s.all()
 	listeners := make([]net.Listener, 0, len(all))
 	for _, server := range all {
-		listener, err := net.Listen("tcp", server.Addr)
+		listener, err := listenDraining(server.Addr)
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", server.Addr)
 		}
 		if server == s.callers {
-			s.callersListener = &drainingListener{TCPListener: listener.(*net.TCPListener)}
-			listener = s.callersListener
+			s.callersListener = listener
 		}
 		listeners = append(listeners, listener)
 	}
@@ -143,7 +142,7 @@
 // need the hops.
 func (s *servers) stop(ctx context.Context) error {
 	wait.For(ctx, connectionCloseWait)
-	err := s.callersListener.drain()
+	err := s.callersListener.drain(ctx)
 	s.callerConns.awaitUnused(ctx)
 	if shutdownErr := s.callers.Shutdown(ctx); err == nil {
 		err = shutdownErr
