Known red: a target that takes over an address before it announces itself

A request of one service runs at a target of another one, if that target's process listens at the address of the ended one and has not announced itself yet. The node's connections ended with the former process, so it opens a new one and sends the request on it. The node learns which instance is there only from the answer. In gateway/ requests name the instance that they are for, and targets refuse others; targets of node/ don't know such a header.

targetservice_test.go:121: the target that took over the address ran the request of org/s: 1 runs, want 0

Not mended: to ask each new connection for its instance first is a change of what nodes demand of targets.

--- a/node/targetservice_test.go
+++ b/node/targetservice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -89,3 +90,34 @@
 		t.Error("the slot is still held")
 	}
 }
+
+// Guards against a run by a target of another service that listens at the address of an ended
+// one and has not announced itself yet.
+func TestRequestDoesNotReachUnannouncedTargetAtSameAddress(t *testing.T) {
+	first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(request.HeaderInstance, "i1") }))
+	local, a := newServedTarget(t, nil)
+	a.Address = strings.TrimPrefix(first.URL, "http://")
+	local.announce(a)
+	if res := sendTo(t, local, "org/s"); res.failure != nil {
+		t.Fatalf("its own request: %+v", res.failure)
+	}
+	first.Close()
+	listener, err := net.Listen("tcp", a.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var runs atomic.Int64
+	later := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(request.HeaderInstance, "i2")
+		if r.URL.Path == "/load" {
+			writeJSON(w, map[string]any{"instance": "i2", "state": "warm", "slots": 20})
+			return
+		}
+		runs.Add(1)
+	})}
+	defer later.Close()
+	go func() { _ = later.Serve(listener) }()
+	if sendTo(t, local, "org/s"); runs.Load() != 0 {
+		t.Errorf("the target that took over the address ran the request of org/s: %d runs, want 0", runs.Load())
+	}
+}
