Announcements at the same time leave the connections of the later one

Requests of the service that a target serves were refused for good, and requests of the former service could be sent to it. Path: two announcements arrive at the same time, as after a start of the node beside a target that another one replaces. The later one is kept, but its connections are replaced by those of the earlier one. Further announcements of the same process find nothing changed.

Cause: the announcement and the connections were replaced in two steps.

--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -49,6 +49,10 @@
 	// it or the state has changed.
 	onChange func(announcement, load.State)
 
+	// announcing is held while an announcement replaces the one before, so that the
+	// connections are those of the announcement that is kept.
+	announcing sync.Mutex
+
 	mu        sync.Mutex
 	announced announcement
 	// connections is the number of connections that the client may open.
@@ -64,6 +68,16 @@
 // service, instance, address or number of connections, also one from a changed limit,
 // replaces the connections.
 func (t *localTarget) announce(a announcement) load.State {
+	crash, now := t.replaceAnnouncement(a)
+	t.proxy.reportCrash(crash, now)
+	return t.publish()
+}
+
+// replaceAnnouncement keeps an announcement and the connections that belong to it. It returns
+// the crash that follows from it, or nil, and the time of that.
+func (t *localTarget) replaceAnnouncement(a announcement) (*admission.Crash, time.Time) {
+	t.announcing.Lock()
+	defer t.announcing.Unlock()
 	now := time.Now()
 	t.mu.Lock()
 	target := t.withinLimits(a)
@@ -77,9 +91,7 @@
 		_ = level.Info(t.logger).Log("msg", "target announced", "service", a.service(), "address", a.Address, "instance", a.Instance)
 		t.connect(a, target.Connections)
 	}
-	crash := t.proxy.admission.Announce(target, now)
-	t.proxy.reportCrash(crash, now)
-	return t.publish()
+	return t.proxy.admission.Announce(target, now), now
 }
 
 // withinLimits returns the announced target, reduced to the configured limits of its
