Traffic splits: the first requests after a change follow the weights

After a change of a split, and after a start, the first request of nearly every node went to the service with the highest weight, so that the shares over all nodes were off until each node had some requests.

Cause: the current weights begin between zero and the weight of the service. Since splits start anew when they change, this concerns all nodes at each change.

Before the change the new test failed in three of three runs:

traffic_split_test.go:56: share 0.082 of the first requests, want 0.4

A split now starts at a random turn. Turns keep the sum of the current weights, and that of a service whose weight is zero, so such a service is still never chosen.

With the change the tests of the splitter passed five times with -race.

--- a/gateway/traffic_split.go
+++ b/gateway/traffic_split.go
@@ -11,6 +11,9 @@
 // maxSplitRoutes bounds the number of routes whose splits are kept.
 const maxSplitRoutes = 1024
 
+// maxSkippedTurns bounds the random number of turns that a split skips at its start.
+const maxSkippedTurns = 100
+
 // trafficSplitter distributes the requests of each route over its services by
 // smooth weighted round robin: the current weights are carried over from one
 // request to the next, so that the proportions hold in short periods too. They
@@ -31,12 +34,38 @@
 	currentWeights map[string]float64
 }
 
+// newSplit returns the split of a route at a random turn, so that the first requests of many
+// nodes are distributed by the weights too.
+func newSplit(rule *version.RouteRule) *split {
+	s := &split{services: rule.Services, currentWeights: randomWeights(rule)}
+	for range rand.IntN(maxSkippedTurns) {
+		s.next()
+	}
+	return s
+}
+
+// next returns the service with the highest current weight.
+func (s *split) next() string {
+	weights := s.currentWeights
+	total := 0.0
+	best := s.services[0].Name
+	for _, service := range s.services {
+		total += service.Weight
+		weights[service.Name] += service.Weight
+		if weights[service.Name] > weights[best] {
+			best = service.Name
+		}
+	}
+	weights[best] -= total
+	return best
+}
+
 // newTrafficSplitter returns a splitter without any routes.
 func newTrafficSplitter() *trafficSplitter {
 	return &trafficSplitter{splits: make(map[string]*split)}
 }
 
-// next returns the service with the highest current weight.
+// next returns the service for the next request of a route.
 func (s *trafficSplitter) next(rule *version.RouteRule) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -45,25 +74,13 @@
 		if len(s.splits) >= maxSplitRoutes {
 			clear(s.splits)
 		}
-		current = &split{services: rule.Services, currentWeights: randomWeights(rule)}
+		current = newSplit(rule)
 		s.splits[rule.Name] = current
 	}
-	weights := current.currentWeights
-	total := 0.0
-	best := rule.Services[0].Name
-	for _, service := range rule.Services {
-		total += service.Weight
-		weights[service.Name] += service.Weight
-		if weights[service.Name] > weights[best] {
-			best = service.Name
-		}
-	}
-	weights[best] -= total
-	return best
+	return current.next()
 }
 
-// randomWeights returns random initial weights, so that many nodes do not
-// begin with the same service.
+// randomWeights returns random initial weights of zero or above.
 func randomWeights(rule *version.RouteRule) map[string]float64 {
 	weights := make(map[string]float64, len(rule.Services))
 	for _, service := range rule.Services {
--- a/gateway/traffic_split_test.go
+++ b/gateway/traffic_split_test.go
@@ -37,3 +37,22 @@
 		}
 	}
 }
+
+// After a change of a split, the first request of each node went to the service with the highest
+// weight, so that the shares over all nodes were off until each node had some requests.
+func TestFirstRequestsOfManyNodesFollowTheWeights(t *testing.T) {
+	const nodes, share, tolerance = 2000, 0.4, 0.1
+	before := &version.RouteRule{Name: "r", Services: []version.WeightedService{{Name: "a", Weight: 50}, {Name: "b", Weight: 50}}}
+	after := &version.RouteRule{Name: "r", Services: []version.WeightedService{{Name: "a", Weight: 100 * (1 - share)}, {Name: "b", Weight: 100 * share}}}
+	chosen := 0.0
+	for range nodes {
+		s := newTrafficSplitter()
+		s.next(before)
+		if s.next(after) == "b" {
+			chosen++
+		}
+	}
+	if got := chosen / nodes; got < share-tolerance || got > share+tolerance {
+		t.Errorf("share %.3f of the first requests, want %.1f", got, share)
+	}
+}
