Known red: retries that a restarted gate refuses are given up

A caller whose idempotent request lost its response gets 502 if the retry comes to a node that has been restarted within 10 s and has used its fifth of the budget's part, though other targets have room.

TestLostResponsesAreRepeatedAfterRestartOfOneNode has a case with three targets and one lost response.

--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -36,34 +36,41 @@
 	}
 }
 
-// A node is restarted while all others run on, and the budget of the service has room. Callers
-// whose idempotent requests lost their response within half a second got 502: the restarted
-// node refused the retries.
+// A node is restarted while all others run on, and the budget of the service has room. A caller
+// whose idempotent request lost its response within half a second got 502: the restarted
+// node refused the retry.
 func TestLostResponsesAreRepeatedAfterRestartOfOneNode(t *testing.T) {
-	for targets, lost := range map[int]int{2: 1} {
-		t.Run(fmt.Sprintf("%d targets, %d lost responses", targets, lost), func(t *testing.T) {
-			f := newTestFleet(t)
-			f.adjust = func(s *Settings) { s.FirstStart = true }
-			f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
-			for range targets {
-				f.add(quick)
-			}
-			f.settled(1)
-			restarted, ingress := f.nodes[0], f.nodes[1]
-			sends := loseFirst(f.nodes[1:]...) // their retries reach the restarted node or the third
-			restarted.settings.FirstStart = false
-			f.restart(restarted)
-			f.settled(1)
-			for i, seen := 0, 0; seen < lost; i++ {
-				id := fmt.Sprint("r", i)
-				got := ingress.call(t, http.MethodGet, "/s/1", id, "")
-				if got.status != http.StatusOK {
-					t.Fatalf("%d, %v after the restart", got.status, time.Since(restarted.startedAt))
-				}
-				if sends(id) > 0 {
-					seen++
-				}
-			}
-		})
+	for _, targets := range []int{2, 3} {
+		t.Run(fmt.Sprintf("%d targets", targets), func(t *testing.T) { loseAfterRestart(t, targets, 1) })
+	}
+}
+
+// As above, with more lost responses than the part of the restarted node allows: a retry that
+// it refuses has to reach the third target, whose part is whole.
+func TestRetryThatARestartedNodeRefusesIsSentElsewhere(t *testing.T) { loseAfterRestart(t, 3, 6) }
+
+// loseAfterRestart restarts the node beside one of the targets of a service, lets the others
+// lose the first responses, and fails the test unless every request gets an answer.
+func loseAfterRestart(t *testing.T, targets, lost int) {
+	f := newTestFleet(t)
+	f.adjust = func(s *Settings) { s.FirstStart = true }
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	for range targets {
+		f.add(quick)
+	}
+	f.settled(1)
+	restarted, ingress := f.nodes[0], f.nodes[1]
+	sends := loseFirst(f.nodes[1:]...) // their retries reach the restarted node or the third
+	restarted.settings.FirstStart = false
+	f.restart(restarted)
+	f.settled(1)
+	for i, seen := 0, 0; seen < lost; i++ {
+		id := fmt.Sprint("r", i)
+		if got := ingress.call(t, http.MethodGet, "/s/1", id, ""); got.status != http.StatusOK {
+			t.Fatalf("%d, %v after the restart, %d lost responses before", got.status, time.Since(restarted.startedAt), seen)
+		}
+		if sends(id) > 0 {
+			seen++
+		}
 	}
 }
