Known red: a late announcement of a former target's process in node/

An independent review showed it: requests of one service run at a target of another after a delayed announcement of a process that has ended, until the next announcement. To ignore past instances is not safe: after a restart of the node a late first report would lock out the live process. Announcements need an order, which is a change of the interface to targets, so it is listed and not mended here.

--- a/node/announcement_order_test.go
+++ b/node/announcement_order_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"verbenatrestle/version"
@@ -25,3 +27,21 @@
 		}
 	}
 }
+
+// Guards against a run by a target of another service: a late announcement of a process that
+// has ended replaced the connections, and with them the service, by those of that process.
+func TestLateAnnouncementOfPastInstanceIsIgnored(t *testing.T) {
+	var runs atomic.Int64
+	local, former := newServedTarget(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	local.announce(former)
+	present := former
+	present.Service, present.Instance = "other", "i2"
+	local.announce(present)
+	local.announce(former) // was delayed
+	if res := sendTo(t, local, "org/s"); runs.Load() != 0 || !res.notRun() {
+		t.Errorf("the target of org/other ran the request of org/s: %d runs, want 0; failure %+v, want not-run", runs.Load(), res.failure)
+	}
+	if res := sendTo(t, local, "org/other"); res.failure != nil || runs.Load() != 1 {
+		t.Errorf("its own request: %+v, %d runs, want 1", res.failure, runs.Load())
+	}
+}
