Quota: tests cut links between nodes for real

Now datagrams between two nodes are dropped both ways; for that the socket of the status exchange is an interface.

A coordinator that does not reach one of four nodes grants three quarters, so the lower bound is that of three quarters. The upper one stays the whole quota.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -51,7 +51,7 @@
 type statusExchange struct {
 	node        *Node
 	codec       *wire.Codec
-	conn        *net.UDPConn
+	conn        datagramConn
 	incarnation uint64
 	// broadcastRequested requests messages before the next interval.
 	broadcastRequested chan struct{}
@@ -64,6 +64,13 @@
 	sequence atomic.Uint64
 }
 
+// datagramConn is a UDP socket.
+type datagramConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // newStatusExchange returns an exchange. The incarnation must differ between
 // any two runs of a node.
 func newStatusExchange(n *Node, incarnation uint64) *statusExchange {
@@ -89,8 +96,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for peers on %s", address)
 	}
-	p.conn, err = net.ListenUDP("udp4", udp)
-	return errors.Wrapf(err, "listen for peers on %s", address)
+	conn, err := net.ListenUDP("udp4", udp)
+	if err != nil {
+		return errors.Wrapf(err, "listen for peers on %s", address)
+	}
+	p.conn = conn
+	return nil
 }
 
 // requestBroadcast requests a broadcast before the next interval. It never
