Quota: requests outlast the loss of a coordinator that is noticed by silence

Callers saw: from 96 nodes on, requests within the quota got 503 when the coordinator of their organisation was lost, and again every 10 s when nodes tried it anew. Since messages are passed on, a node that passes them to a lost coordinator would also have kept the next one from taking over.

Cause: requests that wait were refused as soon as the coordinator counted as silent, though the next one could decide on them. The excluded node was tried again with requests that wait. A node that passes on kept no account of answers.

Change: requests that wait are asked of the next coordinator, up to the fourth silence in a row, within their deadlines. A silent node is excluded for all organisations, and requests that wait for it are moved at once. A node that passes messages on excludes the coordinator when two are unanswered for 100 ms. Excluded nodes are probed at once and every 500 ms, by messages that ask for no token; an answer ends the exclusion, and no request waits for that.

The virtual time has its own copy of the order of steps in gateway/quota.go; that file's exclusions were not run with 96 or more real nodes.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -271,7 +271,7 @@
 		case *quota.Ask:
 			p.node.quotas.receiveAsk(m, from.String())
 		case *quota.Grant:
-			p.node.quotas.receiveGrant(m)
+			p.node.quotas.receiveGrant(m, from.String())
 		}
 	}
 }
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -24,9 +24,6 @@
 	// coordinatorCacheTime is how long the coordinator of an organisation is kept without
 	// looking at the peers again.
 	coordinatorCacheTime = 100 * time.Millisecond
-	// coordinatorExclusion is how long a coordinator is not asked that did not answer and
-	// whose loss is noticed late.
-	coordinatorExclusion = 10 * time.Second
 	// agreementTime is how long a node counts the requests of an organisation after the next
 	// node has agreed that the former coordinator is lost.
 	agreementTime = 500 * time.Millisecond
@@ -45,10 +42,9 @@
 	mu          sync.Mutex
 	ingress     *quota.Ingress
 	coordinator *quota.Coordinator
-	// coordinators caches the coordinators of organisations, and excluded holds until when
-	// nodes are not asked.
+	// coordinators caches the coordinators of organisations.
 	coordinators map[string]cachedCoordinator
-	excluded     map[string]time.Time
+	exclusions   *quota.Exclusions
 	// knownNodes is the number of nodes of the system, this one included.
 	knownNodes int
 }
@@ -69,7 +65,7 @@
 func newQuotaKeeper(n *Node) *quotaKeeper {
 	return &quotaKeeper{
 		node: n, wake: make(chan struct{}, 1), ingress: quota.NewIngress(n.peers.incarnation), coordinator: quota.NewCoordinator(),
-		coordinators: make(map[string]cachedCoordinator), excluded: make(map[string]time.Time),
+		coordinators: make(map[string]cachedCoordinator), exclusions: quota.NewExclusions(),
 	}
 }
 
@@ -192,6 +188,9 @@
 		for _, organisation := range silent {
 			q.exclude(organisation, now)
 		}
+		if len(asks) > 0 {
+			q.probe(now)
+		}
 		answered := false
 		for i := range asks {
 			answered = q.send(&asks[i], now) || answered
@@ -208,7 +207,7 @@
 	if now.Before(cached.until) {
 		return cached
 	}
-	excluded := func(node string) bool { return now.Before(q.excluded[node]) }
+	excluded := func(node string) bool { return q.exclusions.Excluded(node, now) }
 	found := q.node.fleet.Coordinator(organisation, q.node.settings().Name, excluded, now)
 	next := cachedCoordinator{Coordinator: found, until: now.Add(coordinatorCacheTime)}
 	if found.Relay == cached.Relay {
@@ -233,24 +232,53 @@
 	q.coordinators[organisation] = c
 }
 
-// exclude leaves out the coordinator of an organisation for a time if its loss would be
-// noticed late. The caller holds the lock.
+// exclude handles the silence of the node that is asked about an organisation. If its loss would
+// be noticed late, it is asked about none for a time. The caller holds the lock.
 func (q *quotaKeeper) exclude(organisation string, now time.Time) {
 	c := q.coordinators[organisation]
-	q.node.events.coordinatorSilent(organisation, c.Node)
-	if !c.StatusOnly {
+	node, statusOnly := c.Node, c.StatusOnly
+	if node == "" {
+		node, statusOnly = c.Relay.Node, c.Relay.StatusOnly
+	}
+	q.node.events.coordinatorSilent(organisation, node)
+	if node == "" || !statusOnly {
 		return
 	}
-	for node, until := range q.excluded {
-		if !now.Before(until) {
-			delete(q.excluded, node)
+	q.exclusions.Exclude(node, organisation, now)
+	for other, c := range q.coordinators {
+		if c.Node == node || c.Relay.Node == node {
+			q.expire(other)
+			q.coordinatorOf(other, now) // requests that wait for the node are moved
 		}
 	}
-	q.excluded[c.Node] = now.Add(coordinatorExclusion)
-	c.until = now
+}
+
+// expire makes the next call of coordinatorOf look at the peers again. The caller holds the lock.
+func (q *quotaKeeper) expire(organisation string) {
+	c := q.coordinators[organisation]
+	c.until = time.Time{}
 	q.coordinators[organisation] = c
 }
 
+// probe sends the excluded nodes the messages that are due. The caller holds the lock.
+func (q *quotaKeeper) probe(now time.Time) {
+	for _, probe := range q.exclusions.Probes(q.node.peers.incarnation, now) {
+		if p, known := q.node.fleet.Peer(probe.Node); known {
+			q.node.peers.write(p.DatagramAddress, &probe.Ask)
+		}
+	}
+}
+
+// answeredBy ends the exclusion of the node that has sent an answer. The caller holds the lock.
+func (q *quotaKeeper) answeredBy(from string) {
+	if !q.exclusions.Answered(q.node.fleet.NodeAt(from)) {
+		return
+	}
+	for organisation := range q.coordinators {
+		q.expire(organisation)
+	}
+}
+
 // send sends a message to the coordinator, and reports whether that is this node, so that the
 // message is answered. The caller holds the lock.
 func (q *quotaKeeper) send(ask *quota.Ask, now time.Time) (answered bool) {
@@ -275,6 +303,11 @@
 		q.agreed(ask.Organisation, now)
 		c = q.coordinatorOf(ask.Organisation, now)
 	}
+	if c.StatusOnly && quota.RouteOf(ask, c.role(now)) == quota.PassToCoordinator && q.exclusions.PassedOn(c.Node, now) {
+		q.exclude(ask.Organisation, now)
+		q.probe(now)
+		c = q.coordinatorOf(ask.Organisation, now)
+	}
 	to := c.DatagramAddress
 	switch quota.RouteOf(ask, c.role(now)) {
 	case quota.Answer, quota.AnswerShare:
@@ -326,15 +359,17 @@
 
 // receiveGrant applies the answer of a coordinator. One for another node, whose message this one
 // has passed on, is passed on too.
-func (q *quotaKeeper) receiveGrant(grant *quota.Grant) {
+func (q *quotaKeeper) receiveGrant(grant *quota.Grant, from string) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.answeredBy(from)
 	if grant.Incarnation != q.node.peers.incarnation {
 		if to, known := q.node.fleet.DatagramAddress(grant.Incarnation); known {
 			q.node.peers.write(to, grant)
 		}
 		return
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.ingress.HandleGrant(*grant, time.Now())
+	q.ingress.HandleGrant(*grant, now)
 	q.sendDue()
 }
--- a/process/fleet/coordinator.go
+++ b/process/fleet/coordinator.go
@@ -72,6 +72,16 @@
 	return chosen
 }
 
+// NodeAt returns the name of the node that takes datagrams at an address, or an empty one.
+func (t *Table) NodeAt(datagramAddress string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.byAddress[datagramAddress]; p != nil {
+		return p.Status.Node
+	}
+	return ""
+}
+
 // DatagramAddress returns where the node of an incarnation takes datagrams, and false if it is
 // not known.
 func (t *Table) DatagramAddress(incarnation uint64) (string, bool) {
--- a/process/quota/ingress.go
+++ b/process/quota/ingress.go
@@ -53,6 +53,8 @@
 	tries    int
 	sentAt   time.Time
 	sent     Ask
+	// silences counts how often coordinators became silent since the latest answer.
+	silences int
 	// answerTime is the mean time until an answer.
 	answerTime time.Duration
 	waiting    []chan<- Result
@@ -210,10 +212,16 @@
 }
 
 // CoordinatorChanged tells that another process counts the requests of an organisation. It does
-// not know this node, so it would not tell it when requests begin to need tokens.
+// not know this node, so it would not tell it when requests begin to need tokens. Requests that
+// wait for the former one's answer wait for that of the new one.
 func (i *Ingress) CoordinatorChanged(organisation string) {
-	if s := i.states[organisation]; s != nil {
-		s.limited = true
+	s := i.states[organisation]
+	if s == nil {
+		return
+	}
+	s.limited = true
+	if len(s.waiting) > 0 {
+		s.tries = 0
 	}
 }
 
@@ -234,7 +242,7 @@
 	if s.tries == 0 || g.Sequence != s.sequence {
 		return
 	}
-	s.tries = 0
+	s.tries, s.silences = 0, 0
 	s.answerTime += (now.Sub(s.sentAt) - s.answerTime) / answerTimeWeight
 	s.confirmed = s.sent.Admitted
 	s.limited = g.Limited
@@ -264,10 +272,16 @@
 // decided on. Another coordinator is found after about that time.
 const uncheckedRetryAfter = 500 * time.Millisecond
 
+// maxSilences is how often in a row coordinators may become silent before requests that wait
+// are refused. Two may be lost at once, and the next one has to find that too.
+const maxSilences = 4
+
 // answerMissing handles messages that are not answered in time. Requests need tokens from then
-// on, so the number of those that no coordinator counts is bounded.
+// on, so the number of those that no coordinator counts is bounded. Those beyond the share of
+// this node wait for the answer of the next coordinator.
 func (s *ingressState) answerMissing(nodes int, now time.Time) {
 	s.tries, s.limited = 0, true
+	s.silences++
 	s.reserve += s.limit.RatePerSecond / float64(max(nodes, 1)) * now.Sub(s.reserveAt).Seconds()
 	s.reserve = min(s.reserve, s.limit.capacity()/float64(max(nodes, 1)))
 	s.reserveAt = now
@@ -277,5 +291,7 @@
 		s.admitted++
 	}
 	s.answerWaiting(served, Result{})
-	s.answerWaiting(len(s.waiting), Result{Decision: Unchecked, RetryAfter: uncheckedRetryAfter})
+	if s.silences >= maxSilences {
+		s.answerWaiting(len(s.waiting), Result{Decision: Unchecked, RetryAfter: uncheckedRetryAfter})
+	}
 }
--- a/process/quota/quota_test.go
+++ b/process/quota/quota_test.go
@@ -30,11 +30,16 @@
 	// came.
 	admitted []time.Duration
 	asked    int
-	messages int
+	// unchecked counts the requests that no coordinator decided on.
+	unchecked int
+	messages  int
+	// silence is set if the loss of a node is noticed by its silence only.
+	silence bool
 }
 
 type simulatedNode struct {
 	index       int
+	name        string
 	incarnation uint64
 	ingress     *Ingress
 	coordinator *Coordinator
@@ -47,6 +52,9 @@
 	downSince time.Time
 	// deafUntil is when a suspended process goes on.
 	deafUntil time.Time
+	// exclusions and agreedUntil are used with simulation.silence.
+	exclusions  *Exclusions
+	agreedUntil time.Time
 }
 
 type event struct {
@@ -71,7 +79,7 @@
 	s.limitAt = func(time.Duration) Limit { return limit }
 	s.latency = func() time.Duration { return 300*time.Microsecond + time.Duration(s.rng.IntN(700))*time.Microsecond }
 	for i := range nodes {
-		s.nodes = append(s.nodes, &simulatedNode{index: i})
+		s.nodes = append(s.nodes, &simulatedNode{index: i, name: strconv.Itoa(i)})
 		s.restart(s.nodes[i])
 	}
 	return s
@@ -80,6 +88,7 @@
 func (s *simulation) restart(n *simulatedNode) {
 	n.incarnation = s.rng.Uint64()
 	n.ingress, n.coordinator, n.down = NewIngress(n.incarnation), NewCoordinator(), false
+	n.exclusions = NewExclusions()
 }
 
 func (s *simulation) after(d time.Duration, run func()) {
@@ -119,7 +128,11 @@
 
 // poll sends what is due at a node.
 func (s *simulation) poll(n *simulatedNode) {
-	asks, _, next := n.ingress.Due(len(s.nodes), s.now)
+	asks, silent, next := n.ingress.Due(len(s.nodes), s.now)
+	if s.silence {
+		s.routeAll(n, asks, silent)
+		asks = nil
+	}
 	for _, ask := range asks {
 		to, _ := s.coordinatorFor(n)
 		s.send(n, to, func() {
@@ -152,7 +165,11 @@
 
 // noticeCoordinator tells a node when it has another coordinator.
 func (s *simulation) noticeCoordinator(n *simulatedNode) {
-	if c, _ := s.coordinatorFor(n); c != nil && c.incarnation != n.coordinatedBy {
+	c, _ := s.coordinatorFor(n)
+	if s.silence {
+		c, _ = s.order(n)
+	}
+	if c != nil && c.incarnation != n.coordinatedBy {
 		n.coordinatedBy = c.incarnation
 		n.ingress.CoordinatorChanged(organisation)
 	}
@@ -212,6 +229,9 @@
 }
 
 func (s *simulation) record(r Result) {
+	if r.Decision == Unchecked {
+		s.unchecked++
+	}
 	if r.Decision == Admitted {
 		s.admitted = append(s.admitted, s.now.Sub(start))
 	}
