Tests of bursts share the loop that sends them

The burst's test and the one without its time bounds repeated it. What is checked is unchanged; go test -race ./gateway -run Burst -count=3 passed.

--- a/gateway/burst_test.go
+++ b/gateway/burst_test.go
@@ -30,21 +30,26 @@
 		f.add(testTarget{service: "s", slots: 1, work: 100 * time.Millisecond})
 	}
 	f.settled(1)
+	sendBursts(t, f, 2*targets, func(id string) string {
+		status, err := f.nodes[0].callWithin(patience, "/s/1", id)
+		if err != nil || status != http.StatusOK {
+			return fmt.Sprintf("%s: status %d, %v", id, status, err)
+		}
+		return ""
+	})
+}
+
+// sendBursts sends bursts of requests at once, one burst after the other, and stops after one
+// that fails. Send sends the request of an id and returns what is wrong with the response.
+func sendBursts(t *testing.T, f *testFleet, requests int, send func(id string) string) {
+	t.Helper()
 	for round := range 5 {
-		failed := make(chan string, 2*targets)
-		for i := range cap(failed) {
-			go func() {
-				id := fmt.Sprintf("%d-%d", round, i)
-				status, err := f.nodes[0].callWithin(patience, "/s/1", id)
-				if err != nil || status != http.StatusOK {
-					failed <- fmt.Sprintf("%s: status %d, %v", id, status, err)
-					return
-				}
-				failed <- ""
-			}()
+		failed := make(chan string, requests)
+		for i := range requests {
+			go func() { failed <- send(fmt.Sprintf("%d-%d", round, i)) }()
 		}
 		complete := true
-		for range cap(failed) {
+		for range requests {
 			if failure := <-failed; failure != "" {
 				t.Error(failure)
 				complete = false
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -278,30 +278,12 @@
 		f.add(testTarget{service: "s", slots: 1, work: 100 * time.Millisecond})
 	}
 	f.settled(1)
-	for round := range 5 {
-		failed := make(chan string, 2*targets)
-		for i := range cap(failed) {
-			go func() {
-				id := fmt.Sprintf("%d-%d", round, i)
-				if status := f.nodes[0].call(t, http.MethodGet, "/s/1", id, "").status; status != http.StatusOK {
-					failed <- fmt.Sprintf("%s: status %d", id, status)
-					return
-				}
-				failed <- ""
-			}()
+	sendBursts(t, f, 2*targets, func(id string) string {
+		if status := f.nodes[0].call(t, http.MethodGet, "/s/1", id, "").status; status != http.StatusOK {
+			return fmt.Sprintf("%s: status %d", id, status)
 		}
-		complete := true
-		for range cap(failed) {
-			if failure := <-failed; failure != "" {
-				t.Error(failure)
-				complete = false
-			}
-		}
-		if !complete {
-			f.logLines(fmt.Sprintf(`"request":"%d-`, round))
-			return
-		}
-	}
+		return ""
+	})
 }
 
 // When a caller closes its connection, the slot of its request has to be freed.
