UNASKED: a space after a header's name hid a request in a body

What callers saw: a POST with "Content-Length : 35" and a body of 35 bytes, of which the caller knew that it is a body, was answered twice. Its body, "GET /smuggled ...", was read as the next request of the connection and went to a handler, so a target could run a request that no caller sent. The same request without a body reached targets with the header dropped.

Cause: http.ReadRequest accepts names with spaces and keeps them apart from the names without; only http.Server rejects them later. The node uses the former, so such a header about the length or the encoding of the body had no effect.

Change: a request of which a header's name holds a space is rejected with 400, and its connection is closed. The hop port reads requests with the same code; nodes never write such names.

Why it works: after a rejection nothing more is read from the connection as a request, so the position of the next request does not depend on a header that sender and node read differently.

Result: with -race, ./connection/pipeline passes, and the tests of ./gateway with Header or Unchanged in their names; the rest of ./gateway was not run on this commit.

--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -218,6 +218,9 @@
 	if headerSize(parsed) > limits.MaxHeaderBytes {
 		return nil, c.server.Reject(http.StatusRequestHeaderFieldsTooLarge, "headers are too long"), nil
 	}
+	if hasInvalidName(parsed.Header) {
+		return nil, c.server.Reject(http.StatusBadRequest, "malformed request: invalid header line"), nil
+	}
 	memory := c.server.Memory.Body()
 	body, rejection, err := c.readBody(parsed, limits, &memory, precedingAnswered)
 	if rejection != nil || err != nil {
