UNASKED: a request was run that was hidden behind chunks within a length

What callers saw: of a POST with "Content-Length: 40" and "Transfer-Encoding: chunked" whose 40 bytes were "0", two line ends and a GET, the chunks ended the body and the GET was handled as the next request of the connection, so a target could run a request that no caller sent. With HTTP/1.0, 0.9 or 2.0 in the request line, chunks were not read as a body at all: the first request ran without its body, and what the body held came next.

Cause: http.ReadRequest takes the chunks of a length and chunks, ignores Transfer-Encoding in versions other than 1.1 and later, and removes both headers, so that its caller can't see the conflict. The connection stayed open, which RFC 9112, 6.1 forbids for such requests.

Change: the bytes of a head are recorded while it is parsed. A request with a length and chunks, or with a Transfer-Encoding before HTTP/1.1, is rejected with 400, and one of a version other than 1.x with 505; the connection is closed after that. HTTP/1.0 with a length or without a body is served as before. The record is a copy of at most one head and lives while it is parsed.

Why it works: where sender and node may disagree on the end of a body, nothing after the head is read as a request.

The cost of the record was not measured.

--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -50,6 +50,7 @@
 	server        *Server
 	conn          net.Conn
 	limitedReader *io.LimitedReader
+	recorder      *headRecorder
 	reader        *bufio.Reader
 	responses     chan *pendingResponse
 	// pending counts the requests that have begun to arrive and whose responses
@@ -62,12 +63,14 @@
 
 func newServerConn(s *Server, c net.Conn) *serverConn {
 	limitedReader := &io.LimitedReader{R: c, N: math.MaxInt64}
+	recorder := &headRecorder{Reader: limitedReader}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &serverConn{
 		server:        s,
 		conn:          c,
 		limitedReader: limitedReader,
-		reader:        bufio.NewReaderSize(limitedReader, readBufferSize),
+		recorder:      recorder,
+		reader:        bufio.NewReaderSize(recorder, readBufferSize),
 		responses:     make(chan *pendingResponse, maxPipelined),
 		ctx:           ctx,
 		cancel:        cancel,
@@ -209,17 +212,16 @@
 func (c *serverConn) read(limits Limits, precedingAnswered <-chan struct{}) (*Request, *Response, error) {
 	c.limitedReader.N = limits.MaxHeaderBytes + readBufferSize
 	headerDeadline := time.Now().Add(limits.HeaderTimeout)
+	c.recorder.begin(c.reader)
 	parsed, err := http.ReadRequest(c.reader)
+	head := c.recorder.end(c.reader)
 	tooLong := c.limitedReader.N <= 0
 	c.limitedReader.N = math.MaxInt64
 	if err != nil {
 		return nil, c.headErrorResponse(err, tooLong, !time.Now().Before(headerDeadline)), err
 	}
-	if headerSize(parsed) > limits.MaxHeaderBytes {
-		return nil, c.server.Reject(http.StatusRequestHeaderFieldsTooLarge, "headers are too long"), nil
-	}
-	if hasInvalidName(parsed.Header) {
-		return nil, c.server.Reject(http.StatusBadRequest, "malformed request: invalid header line"), nil
+	if rejection := c.checkHead(head, parsed, limits); rejection != nil {
+		return nil, rejection, nil
 	}
 	memory := c.server.Memory.Body()
 	body, rejection, err := c.readBody(parsed, limits, &memory, precedingAnswered)
--- a/connection/pipeline/framing_test.go
+++ b/connection/pipeline/framing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 )
@@ -54,3 +55,39 @@
 		t.Run(name, func(t *testing.T) { checkRejected(t, text, http.StatusBadRequest) })
 	}
 }
+
+// The body of a request with both a length and chunks was read as chunks, and what followed them within
+// the length was run as a request of its own. In HTTP/1.0 chunks were not read at all.
+func TestConflictingFramingIsRejected(t *testing.T) {
+	const chunks = "Transfer-Encoding: chunked\r\n"
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"length and chunks": {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n" + chunks + "\r\n0\r\n\r\n" + smuggled, http.StatusBadRequest},
+		"chunks and length": {"POST /x HTTP/1.1\r\nHost: h\r\n" + chunks + "content-length: 40\r\n\r\n0\r\n\r\n" + smuggled, http.StatusBadRequest},
+		"chunks in 1.0":     {"GET /x HTTP/1.0\r\nHost: h\r\n" + chunks + "\r\n" + smuggled, http.StatusBadRequest},
+		"version 0.9":       {"GET /x HTTP/0.9\r\nHost: h\r\n" + chunks + "\r\n" + smuggled, http.StatusHTTPVersionNotSupported},
+		"version 2.0":       {"PRI /x HTTP/2.0\r\nHost: h\r\n\r\n" + smuggled, http.StatusHTTPVersionNotSupported},
+	} {
+		t.Run(name, func(t *testing.T) { checkRejected(t, c.text, c.want) })
+	}
+}
+
+// Requests with a length or with chunks must keep their connection, also right behind each other.
+func TestProperFramingIsAccepted(t *testing.T) {
+	_, address := serve(t, testLimits, echo)
+	c, reader := dial(t, address)
+	long := strings.Repeat("x", 3*readBufferSize)
+	text := "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nContent-Length: 9\r\n\r\n" +
+		"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 45\r\n\r\nTransfer-Encoding: chunked\r\nContent-Length: 1" +
+		"POST /c?Transfer-Encoding:chunked HTTP/1.1\r\nHost: h\r\nX-Transfer-Encoding: chunked\r\nX: " + long[:readBufferSize] + "\r\nContent-Length: 2\r\n\r\nhi" +
+		"PUT /d HTTP/1.1\r\nHost: h\r\nX-Content-Length: 3\r\nX: " + long[:readBufferSize] + "\r\nTransfer-Encoding: chunked\r\n\r\n1800\r\n" + long + "\r\n0\r\n\r\n" +
+		"GET /e HTTP/1.0\r\nHost: h\r\n\r\n"
+	go func() { _, _ = io.WriteString(c, text) }()
+	for _, want := range []string{"/a:hello", "/b:Transfer-Encoding: chunked\r\nContent-Length: 1", "/c?Transfer-Encoding:chunked:hi", "/d:" + long, "/e:"} {
+		if response, body := read(t, reader); response.StatusCode != http.StatusOK || body != want {
+			t.Errorf("status %d, %q, want %q", response.StatusCode, body, want)
+		}
+	}
+}
