Soak: targets record the method that arrived

What callers saw: nothing. A node that changes the method of a request breaks the rule that a target runs only what was asked, and the soak would not have noticed it for requests without a response.

Cause: the soak's target wrote "POST" into each run record, whatever method arrived. Only the body of a response could show another one, so the check "changed" was blind where the response was lost.

Change: standin.Run holds the method, and NewRunRecord, which the target's program used to do inline, makes the record from it.

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -133,14 +133,8 @@
 	target := standin.NewTarget(options)
 	encoder := json.NewEncoder(os.Stdout)
 	target.OnRun(func(run standin.Run, drainAckedAt time.Time) {
-		line := soak.RunRecord{
-			ID: run.ID, Instance: options.Instance, Service: options.Service, Request: "POST " + run.RequestURI + " " + run.Body,
-			CallerService: run.CallerService, Organisations: run.Organisations, HasKey: run.HasKey, StartMillis: run.StartTime.UnixMilli(),
-		}
-		if !drainAckedAt.IsZero() {
-			line.DrainAckedMillis = drainAckedAt.UnixMilli()
-		}
-		_ = encoder.Encode(line) // if the run is answered, a lost record shows up as the violation "made up"
+		record := soak.NewRunRecord(&run, options.Instance, options.Service, drainAckedAt)
+		_ = encoder.Encode(record) // if the run is answered, a lost record shows up as the violation "made up"
 		if run.Body == soak.PoisonBody {
 			os.Exit(crashStatus)
 		}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"encoding/json"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"verbenatrestle/platform/standin"
 )
 
 // CallerRecord is a caller's record of one request and its response.
@@ -71,6 +74,19 @@
 	DrainAckedMillis int64 `json:"acked_ms"`
 }
 
+// NewRunRecord returns the record of a run at a target. drainAckedAt is when a node
+// acknowledged that the target drains, or zero.
+func NewRunRecord(run *standin.Run, instance, service string, drainAckedAt time.Time) RunRecord {
+	record := RunRecord{
+		ID: run.ID, Instance: instance, Service: service, Request: run.Method + " " + run.RequestURI + " " + run.Body,
+		CallerService: run.CallerService, Organisations: run.Organisations, HasKey: run.HasKey, StartMillis: run.StartTime.UnixMilli(),
+	}
+	if !drainAckedAt.IsZero() {
+		record.DrainAckedMillis = drainAckedAt.UnixMilli()
+	}
+	return record
+}
+
 // AckedConfig is the record of a configuration that the store acknowledged.
 type AckedConfig struct {
 	Version int `json:"version"`
