Soak: targets answer long bodies early and check the rest

What callers saw: nothing. A target may answer before it has read a long body, keep the connection and read on. A node that then sends other bytes in place of the rest, such as the next request, breaks a promise to targets that the soak did not test at all.

Cause: the soak's targets read each body whole before they answered, and bytes that are no request were refused by the HTTP server without a record.

Evidence: with targets that never answer early, TestRestOfBodyAfterEarlyAnswer gets no answer before the body is sent. Without the check of the rest, it misses a part that is left out, and the next request in place of the rest. Without the check of malformed bytes, it misses the bytes after the rest. With incomplete runs taken for whole ones, TestCheckEarlyAnswers fails for a body that is cut off. Without the look at ended connections, TestHeadThatIsCutOffIsNotMalformed fails.

Change: four times a second callers send a body of 300 KiB to 1 MiB whose id makes the target answer 413, signed, before it reads the body. The target then reads the rest and records whether it is what is due, which it knows from the id and the position. A connection of a target records bytes that its HTTP server refuses as no request. The check reports both as "unasked". The read buffer and the segment size of targets are small, since the buffers of the loopback interface hold a whole body. Runs that no caller sent are now reported once each instead of once an id, so the check is as strict.

Result: go test -race of internal/soak and platform/standin passes.

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/subcommands"
@@ -130,20 +131,30 @@
 }
 
 func runServer(ctx context.Context, options standin.TargetOptions, address string) error {
+	options.AnswersEarly = soak.AnswersEarly
 	target := standin.NewTarget(options)
+	var mu sync.Mutex
 	encoder := json.NewEncoder(os.Stdout)
-	target.OnRun(func(run standin.Run, drainAckedAt time.Time) {
-		record := soak.NewRunRecord(&run, options.Instance, options.Service, drainAckedAt)
+	write := func(record soak.RunRecord) {
+		mu.Lock()
+		defer mu.Unlock()
 		_ = encoder.Encode(record) // if the run is answered, a lost record shows up as the violation "made up"
+	}
+	target.OnRun(func(run standin.Run, drainAckedAt time.Time) {
+		write(soak.NewRunRecord(&run, options.Instance, options.Service, drainAckedAt))
 		if run.Body == soak.PoisonBody {
 			os.Exit(crashStatus)
 		}
 	})
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := standin.StartServer(serving, address, target); err != nil {
+	listener, err := soak.ListenTarget(serving, address, func() {
+		write(soak.RunRecord{Instance: options.Instance, Service: options.Service, Malformed: true})
+	})
+	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
+	standin.Serve(serving, listener, target)
 	reporting, stopReporting := context.WithCancel(ctx)
 	defer stopReporting()
 	target.ReportPeriodically(reporting, address)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -65,6 +65,7 @@
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}}
 	group.Go(func() { c.sendBeyondQuota(ctx, client) })
+	group.Go(func() { c.sendEarlyAnswered(ctx, client) })
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / c.RequestsPerSecond))
 	defer ticker.Stop()
 	for i := 0; ; i++ {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"verbenatrestle/platform/standin"
 )
 
 // maxDrainDelay is how long after the acknowledgement of its drain a target may
@@ -36,7 +38,9 @@
 	result := Result{Sent: len(callers)}
 	runsByID := make(map[string][]RunRecord)
 	for _, r := range runs {
-		runsByID[r.ID] = append(runsByID[r.ID], r)
+		if !r.Incomplete {
+			runsByID[r.ID] = append(runsByID[r.ID], r)
+		}
 		if r.DrainAckedMillis > 0 && r.StartMillis > r.DrainAckedMillis+maxDrainDelay.Milliseconds() {
 			result.addViolation("drain: %s reached %s %d ms after its drain was acknowledged", r.ID, r.Instance, r.StartMillis-r.DrainAckedMillis)
 		}
@@ -57,7 +61,7 @@
 		}
 		if c.EndMillis-c.DurationMillis >= faultsEndMillis && !c.Poison && c.alwaysAllowed() && !c.beyondQuota() {
 			afterFaults++
-			if c.Status == http.StatusOK {
+			if c.Status == c.expectedStatus() {
 				answeredAfterFaults++
 			}
 		}
@@ -65,10 +69,8 @@
 	result.checkCallerServices(callers, runsByID)
 	result.checkPoison(callers, runs)
 	result.checkQuota(runs)
-	for id, runsOfID := range runsByID {
-		if !known[id] {
-			result.addViolation("unasked: %s ran at %s, no caller sent it", id, runsOfID[0].Instance)
-		}
+	for i := range runs {
+		result.checkArrival(&runs[i], known[runs[i].ID])
 	}
 	if afterFaults > 0 {
 		result.AnsweredAfterFaults = float64(answeredAfterFaults) / float64(afterFaults)
@@ -105,7 +107,7 @@
 		r.addViolation("denied: %s got 429 from %s, its organisation %q has no quota", c.ID, c.Node, c.Organisation)
 	}
 	switch {
-	case c.Status == http.StatusOK:
+	case c.Status == http.StatusOK || c.Status == c.expectedStatus():
 		r.Answered++
 		r.checkResponse(c, runs)
 	case c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests || c.Status == http.StatusUnauthorized:
@@ -140,13 +142,25 @@
 	}
 }
 
+// expectedStatus returns the status of the response of a target.
+func (c *CallerRecord) expectedStatus() int {
+	if c.Early {
+		return standin.EarlyStatus
+	}
+	return http.StatusOK
+}
+
 // checkResponse checks a successful response: it must be the complete response
 // of a target to this request.
 func (r *Result) checkResponse(c *CallerRecord, runs []RunRecord) {
+	expected := c.ExpectedBody
+	if c.Early {
+		expected = standin.EarlyBody
+	}
 	switch {
-	case len(runs) == 0:
+	case len(runs) == 0 && !c.Early: // the rest of its body may be cut off
 		r.addViolation("made up: %s was answered, but never ran", c.ID)
-	case c.Body != c.ExpectedBody || c.ResponseID != c.ID || !strings.Contains(c.Signature, c.ID):
+	case c.Body != expected || c.Status != c.expectedStatus() || c.ResponseID != c.ID || !strings.Contains(c.Signature, c.ID):
 		r.addViolation("mixed: %s got %q with id %q and signature %q", c.ID, c.Body, c.ResponseID, c.Signature)
 	}
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -49,6 +49,8 @@
 	SupersededMillis int64 `json:"superseded_ms,omitempty"`
 	// Poison means that targets crash when they run the request.
 	Poison bool `json:"poison,omitempty"`
+	// Early means that targets answer the request before they read its body.
+	Early bool `json:"early,omitempty"`
 	// Failure is the error of a request without a response.
 	Failure string `json:"failure,omitempty"`
 }
@@ -65,6 +67,14 @@
 	// CallerService and Organisations are what the headers said of the caller.
 	CallerService string   `json:"caller,omitempty"`
 	Organisations []string `json:"organisations,omitempty"`
+	// Incomplete means that the connection ended before the rest of the body came, after an
+	// early answer, so that the request did not run. WrongRest means that other bytes came in
+	// place of the rest.
+	Incomplete bool `json:"incomplete,omitempty"`
+	WrongRest  bool `json:"wrong_rest,omitempty"`
+	// Malformed means that bytes that are no request came where one begins. Only Instance
+	// and Service are set then.
+	Malformed bool `json:"malformed,omitempty"`
 	// HasKey means that a header held an API key.
 	HasKey bool `json:"has_key,omitempty"`
 	// StartMillis is when the run began, in Unix milliseconds.
@@ -80,6 +90,7 @@
 	record := RunRecord{
 		ID: run.ID, Instance: instance, Service: service, Request: summarize(run.Method + " " + run.RequestURI + " " + run.Body),
 		CallerService: run.CallerService, Organisations: run.Organisations, HasKey: run.HasKey, StartMillis: run.StartTime.UnixMilli(),
+		Incomplete: run.Incomplete, WrongRest: AnswersEarly(run.ID) && run.Body != uniqueBody(run.ID, len(run.Body)),
 	}
 	if !drainAckedAt.IsZero() {
 		record.DrainAckedMillis = drainAckedAt.UnixMilli()
