Soak: the calling service is that of the node's settings

What callers saw: nothing. A target must run a request only with the service of the node where it began, and the soak did not check which service that is.

Cause: the check compared the requests of one node with each other, and knew one name that callers make up. A node that names another service on all of its requests passed.

Evidence: without the new check, TestCallingServiceIsThatOfTheNode fails for another service and for none: no violation, want "unasked".

Change: the script tells the callers the service that it writes into each node's settings, they put it into each record, and the check compares each run with it. The check of the requests of one node stays.

Result: go test -race of internal/soak passes.

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -269,13 +269,14 @@
 
 // callersCommand sends requests and writes a soak.CallerRecord for each.
 func callersCommand() *soakCommand {
-	var nodes, services, prefix, acked string
+	var nodes, nodeServices, services, prefix, acked string
 	var rate float64
 	var timeout, poison time.Duration
 	return &soakCommand{
 		name: "callers", synopsis: "send requests to nodes and record the responses, for the soak",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&nodes, "nodes", "", "`IP:port,...` of the nodes' listeners for callers")
+			f.StringVar(&nodeServices, "node-services", "", "`name,...` of the service of each node")
 			f.StringVar(&services, "services", "", "`name,...` of the services")
 			f.StringVar(&acked, "acked", "", "`file` of the acknowledged configurations, whose routes are requested from each node")
 			f.DurationVar(&poison, "poison", 0, "interval of a request that crashes the targets that run it")
@@ -285,9 +286,12 @@
 		},
 		run: func(ctx context.Context) error {
 			callers := &soak.Callers{
-				Nodes: strings.Split(nodes, ","), Services: strings.Split(services, ","),
+				Nodes: strings.Split(nodes, ","), NodeServices: strings.Split(nodeServices, ","), Services: strings.Split(services, ","),
 				RequestsPerSecond: rate, Timeout: timeout, IDPrefix: prefix, AckedConfigs: acked, PoisonInterval: poison,
 			}
+			if len(callers.NodeServices) != len(callers.Nodes) {
+				return errors.Errorf("callers: %d nodes and %d services of nodes", len(callers.Nodes), len(callers.NodeServices))
+			}
 			callers.Run(ctx, os.Stdout)
 			return nil
 		},
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 type Callers struct {
 	// Nodes lists the addresses, "IP:port", on which nodes accept callers.
 	Nodes []string
+	// NodeServices holds the service of each of Nodes by its settings, in the same order. It is
+	// empty if they are not known.
+	NodeServices []string
 	// Services lists the services that requests are sent to. The requests of those
 	// whose names begin with "once" are non-idempotent.
 	Services []string
@@ -148,7 +152,11 @@
 	r.ResponseID = response.Header.Get(platform.HeaderRequestID)
 }
 
+// write completes the record of a request that was sent at start, and writes it.
 func (c *Callers) write(record *CallerRecord, start time.Time) {
+	if len(c.NodeServices) > 0 {
+		record.NodeService = c.NodeServices[slices.Index(c.Nodes, record.Node)]
+	}
 	record.EndMillis = time.Now().UnixMilli()
 	record.DurationMillis = time.Since(start).Milliseconds()
 	var line bytes.Buffer
--- a/internal/soak/checkorganisations.go
+++ b/internal/soak/checkorganisations.go
@@ -14,6 +14,9 @@
 	if run.CallerService == madeUpName {
 		r.addViolation("unasked: %s ran with the service that its caller made up", c.ID)
 	}
+	if c.NodeService != "" && run.CallerService != c.NodeService {
+		r.addViolation("unasked: %s ran for the service %q, that of its node is %q", c.ID, run.CallerService, c.NodeService)
+	}
 	var holder []string
 	if c.Organisation != "" {
 		holder = []string{c.Organisation}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -29,6 +29,8 @@
 	ResponseID string `json:"answer_id"`
 	// Node is the address that the request was sent to.
 	Node string `json:"node"`
+	// NodeService is the service of that node by its settings. Empty means that it is not known.
+	NodeService string `json:"node_service,omitempty"`
 	// EndMillis is when the request ended, in Unix milliseconds.
 	EndMillis int64 `json:"at_ms"`
 	// DurationMillis is the time from sending the request to its end, in
--- a/internal/soak/requests_test.go
+++ b/internal/soak/requests_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -170,3 +171,23 @@
 		t.Errorf("%d requests arrived", len(arrived))
 	}
 }
+
+// Guards against a node that names another service than that of its settings on all requests, which the
+// comparison of the requests of one node can't show.
+func TestCallingServiceIsThatOfTheNode(t *testing.T) {
+	for caller, want := range map[string]string{"once-a": "", "safe-b": "unasked", "": "unasked", madeUpName: "unasked"} {
+		var out strings.Builder
+		c := Callers{Nodes: []string{"m", "n"}, NodeServices: []string{"safe-b", "once-a"}, out: &out}
+		c.write(&CallerRecord{ID: "r", Node: "n", ExpectedBody: "x", Key: KeyLasting, Organisation: "o"}, time.Now())
+		var record CallerRecord
+		if err := json.Unmarshal([]byte(out.String()), &record); err != nil {
+			t.Fatal(err)
+		}
+		callers, runs := recoveryRecords()
+		run := RunRecord{ID: "r", Request: "x", CallerService: caller, Organisations: []string{"o"}}
+		got := strings.Join(CheckRecords(append(callers, record), append(runs, run), 1000).Violations, "; ")
+		if want == "" && got != "" || !strings.Contains(got, want) {
+			t.Errorf("%q: %q, want %q", caller, got, want)
+		}
+	}
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -105,17 +105,17 @@
   dir=$OUT/$seed; rm -rf "$dir"; mkdir -p "$dir"
   store=$(ip 200):7100; store_control=$(ip 200):7101
   begin store "$dir/store" "$BIN/vtstandin" store -listen "$store" -control "$store_control"
-  local i nodes='' kinds=(hop store store_all sever_all go_back kill_node kill_all stop_node pause_node reload crash_target leave_target config out)
+  local i nodes='' node_services='' kinds=(hop store store_all sever_all go_back kill_node kill_all stop_node pause_node reload crash_target leave_target config out)
   for ((i = 0; i < NODES; i++)); do
     settings "$i" >"$dir/settings-$i.yaml"
     begin "hop$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7013" -to "$(ip "$i"):7003" -control "$(ip "$i"):7023"
     begin "link$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7014" -to "$store" -control "$(ip "$i"):7024"
-    nodes+=",$(ip "$i"):7002"
+    nodes+=",$(ip "$i"):7002" node_services+=",${SERVICES[$((i % 2))]}"
   done
   sleep 0.3; config 1
   for ((i = 0; i < NODES; i++)); do start_node "$i"; start_target "$i"; done
   sleep 2
-  begin callers "$dir/told-0" "$BIN/vtstandin" callers -nodes "${nodes:1}" -services "$(IFS=,; echo "${SERVICES[*]}")" -rate "$RATE" -prefix "s$seed" -acked "$dir/acked" -poison 1.1s
+  begin callers "$dir/told-0" "$BIN/vtstandin" callers -nodes "${nodes:1}" -node-services "${node_services:1}" -services "$(IFS=,; echo "${SERVICES[*]}")" -rate "$RATE" -prefix "s$seed" -acked "$dir/acked" -poison 1.1s
   local until=$((SECONDS + SECONDS_LOAD)) store_kinds=(down silent mute_watches lose_answers compacted)
   while [ $SECONDS -lt $until ]; do
     fault "${kinds[$((RANDOM % ${#kinds[@]}))]}" "${store_kinds[$((RANDOM % 5))]}"
