--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/subcommands"
@@ -130,26 +131,30 @@
 }
 
 func runServer(ctx context.Context, options standin.TargetOptions, address string) error {
+	options.AnswersEarly = soak.AnswersEarly
 	target := standin.NewTarget(options)
+	var mu sync.Mutex
 	encoder := json.NewEncoder(os.Stdout)
+	write := func(record soak.RunRecord) {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = encoder.Encode(record) // if the run is answered, a lost record shows up as the violation "made up"
+	}
 	target.OnRun(func(run standin.Run, drainAckedAt time.Time) {
-		line := soak.RunRecord{
-			ID: run.ID, Instance: options.Instance, Service: options.Service, Request: "POST " + run.RequestURI + " " + run.Body,
-			CallerService: run.CallerService, Organisations: run.Organisations, HasKey: run.HasKey, StartMillis: run.StartTime.UnixMilli(),
-		}
-		if !drainAckedAt.IsZero() {
-			line.DrainAckedMillis = drainAckedAt.UnixMilli()
-		}
-		_ = encoder.Encode(line) // if the run is answered, a lost record shows up as the violation "made up"
+		write(soak.NewRunRecord(&run, options.Instance, options.Service, drainAckedAt))
 		if run.Body == soak.PoisonBody {
 			os.Exit(crashStatus)
 		}
 	})
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := standin.StartServer(serving, address, target); err != nil {
+	listener, err := soak.ListenTarget(serving, address, func() {
+		write(soak.RunRecord{Instance: options.Instance, Service: options.Service, Malformed: true})
+	})
+	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
+	standin.Serve(serving, listener, target)
 	reporting, stopReporting := context.WithCancel(ctx)
 	defer stopReporting()
 	target.ReportPeriodically(reporting, address)
@@ -264,13 +269,14 @@
 
 // callersCommand sends requests and writes a soak.CallerRecord for each.
 func callersCommand() *soakCommand {
-	var nodes, services, prefix, acked string
+	var nodes, nodeServices, services, prefix, acked string
 	var rate float64
 	var timeout, poison time.Duration
 	return &soakCommand{
 		name: "callers", synopsis: "send requests to nodes and record the responses, for the soak",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&nodes, "nodes", "", "`IP:port,...` of the nodes' listeners for callers")
+			f.StringVar(&nodeServices, "node-services", "", "`name,...` of the service of each node")
 			f.StringVar(&services, "services", "", "`name,...` of the services")
 			f.StringVar(&acked, "acked", "", "`file` of the acknowledged configurations, whose routes are requested from each node")
 			f.DurationVar(&poison, "poison", 0, "interval of a request that crashes the targets that run it")
@@ -280,9 +286,12 @@
 		},
 		run: func(ctx context.Context) error {
 			callers := &soak.Callers{
-				Nodes: strings.Split(nodes, ","), Services: strings.Split(services, ","),
+				Nodes: strings.Split(nodes, ","), NodeServices: strings.Split(nodeServices, ","), Services: strings.Split(services, ","),
 				RequestsPerSecond: rate, Timeout: timeout, IDPrefix: prefix, AckedConfigs: acked, PoisonInterval: poison,
 			}
+			if len(callers.NodeServices) != len(callers.Nodes) {
+				return errors.Errorf("callers: %d nodes and %d services of nodes", len(callers.Nodes), len(callers.NodeServices))
+			}
 			callers.Run(ctx, os.Stdout)
 			return nil
 		},
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 type Callers struct {
 	// Nodes lists the addresses, "IP:port", on which nodes accept callers.
 	Nodes []string
+	// NodeServices holds the service of each of Nodes by its settings, in the same order. It is
+	// empty if they are not known.
+	NodeServices []string
 	// Services lists the services that requests are sent to. The requests of those
 	// whose names begin with "once" are non-idempotent.
 	Services []string
@@ -65,6 +69,8 @@
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 	}}
 	group.Go(func() { c.sendBeyondQuota(ctx, client) })
+	group.Go(func() { c.sendEarlyAnswered(ctx, client) })
+	group.Go(func() { c.sendAmbiguous(ctx) })
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / c.RequestsPerSecond))
 	defer ticker.Stop()
 	for i := 0; ; i++ {
@@ -86,8 +92,6 @@
 
 // sendToService sends a request to a random service, or on the public route, exactly once and
 // records the response.
-// http.Transport retries a request by itself only if it has no body or the body
-// can be rewound, so each request has a body that cannot be rewound.
 func (c *Callers) sendToService(client *http.Client, identity identity, record CallerRecord) {
 	service := c.Services[rand.IntN(len(c.Services))]
 	path := "/" + service + "/"
@@ -96,28 +100,33 @@
 	} else {
 		record.NonIdempotent = strings.HasPrefix(service, "once")
 	}
-	c.post(client, path+record.ID, strings.Repeat("x", rand.IntN(200)+1), identity, record)
+	c.send(client, chooseMessage(path+record.ID, service, record.ID), identity, record)
 }
 
-// post sends a request to record.Node and writes the record with its response.
+// post sends a request with the method POST to record.Node and writes the record with its
+// response.
 func (c *Callers) post(client *http.Client, path, body string, identity identity, record CallerRecord) {
+	c.send(client, message{method: http.MethodPost, path: path, body: body}, identity, record)
+}
+
+// send sends a request to record.Node and writes the record with its response.
+func (c *Callers) send(client *http.Client, m message, identity identity, record CallerRecord) {
 	record.Key, record.Organisation = identity.use, identity.holder
-	record.ExpectedBody = "POST " + path + " " + body
+	record.ExpectedBody = summarize(m.text())
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+record.Node+path, io.MultiReader(strings.NewReader(body)))
+	request, err := m.newRequest(record.Node)
 	if err != nil {
 		record.Failure = err.Error()
 		c.write(&record, start)
 		return
 	}
 	request.Host = "h"
-	request.ContentLength = int64(len(body))
 	request.Header.Set(platform.HeaderRequestID, record.ID)
 	request.Header.Set(platform.HeaderTimeout, fmt.Sprint(c.Timeout.Milliseconds()))
 	identity.setHeaders(request.Header)
-	c.exchange(client, request, &record)
+	c.exchange(client, request.WithContext(ctx), &record)
 	c.write(&record, start)
 }
 
@@ -127,18 +136,27 @@
 		record.Failure = err.Error()
 		return
 	}
+	record.setResponse(response)
+}
+
+// setResponse reads and closes the body of a response, and records the response.
+func (r *CallerRecord) setResponse(response *http.Response) {
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		record.Failure = err.Error()
+		r.Failure = err.Error()
 		return
 	}
-	record.Status, record.Body = response.StatusCode, string(body)
-	record.Signature = response.Header.Get(platform.HeaderSignature)
-	record.ResponseID = response.Header.Get(platform.HeaderRequestID)
+	r.Status, r.Body = response.StatusCode, summarize(string(body))
+	r.Signature = response.Header.Get(platform.HeaderSignature)
+	r.ResponseID = response.Header.Get(platform.HeaderRequestID)
 }
 
+// write completes the record of a request that was sent at start, and writes it.
 func (c *Callers) write(record *CallerRecord, start time.Time) {
+	if len(c.NodeServices) > 0 {
+		record.NodeService = c.NodeServices[slices.Index(c.Nodes, record.Node)]
+	}
 	record.EndMillis = time.Now().UnixMilli()
 	record.DurationMillis = time.Since(start).Milliseconds()
 	var line bytes.Buffer
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"encoding/json"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"verbenatrestle/platform/standin"
 )
 
 // CallerRecord is a caller's record of one request and its response.
@@ -15,7 +18,7 @@
 	// NonIdempotent means that the request must not run twice.
 	NonIdempotent bool `json:"once"`
 	// ExpectedBody is the body of the correct response: the method, path and body
-	// of the request.
+	// of the request. Like Body and RunRecord.Request, it is summarized if it is long.
 	ExpectedBody string `json:"asked"`
 	// Status is the HTTP status, or 0 without a response.
 	Status int `json:"status"`
@@ -26,6 +29,8 @@
 	ResponseID string `json:"answer_id"`
 	// Node is the address that the request was sent to.
 	Node string `json:"node"`
+	// NodeService is the service of that node by its settings. Empty means that it is not known.
+	NodeService string `json:"node_service,omitempty"`
 	// EndMillis is when the request ended, in Unix milliseconds.
 	EndMillis int64 `json:"at_ms"`
 	// DurationMillis is the time from sending the request to its end, in
@@ -46,6 +51,11 @@
 	SupersededMillis int64 `json:"superseded_ms,omitempty"`
 	// Poison means that targets crash when they run the request.
 	Poison bool `json:"poison,omitempty"`
+	// Early means that targets answer the request before they read its body.
+	Early bool `json:"early,omitempty"`
+	// Ambiguous means that the request has no clear end. ExpectedBody is only the start of the
+	// response then.
+	Ambiguous bool `json:"ambiguous,omitempty"`
 	// Failure is the error of a request without a response.
 	Failure string `json:"failure,omitempty"`
 }
@@ -62,6 +72,14 @@
 	// CallerService and Organisations are what the headers said of the caller.
 	CallerService string   `json:"caller,omitempty"`
 	Organisations []string `json:"organisations,omitempty"`
+	// Incomplete means that the connection ended before the rest of the body came, after an
+	// early answer, so that the request did not run. WrongRest means that other bytes came in
+	// place of the rest.
+	Incomplete bool `json:"incomplete,omitempty"`
+	WrongRest  bool `json:"wrong_rest,omitempty"`
+	// Malformed means that bytes that are no request came where one begins. Only Instance
+	// and Service are set then.
+	Malformed bool `json:"malformed,omitempty"`
 	// HasKey means that a header held an API key.
 	HasKey bool `json:"has_key,omitempty"`
 	// StartMillis is when the run began, in Unix milliseconds.
@@ -71,6 +89,20 @@
 	DrainAckedMillis int64 `json:"acked_ms"`
 }
 
+// NewRunRecord returns the record of a run at a target. drainAckedAt is when a node
+// acknowledged that the target drains, or zero.
+func NewRunRecord(run *standin.Run, instance, service string, drainAckedAt time.Time) RunRecord {
+	record := RunRecord{
+		ID: run.ID, Instance: instance, Service: service, Request: summarize(run.Method + " " + run.RequestURI + " " + run.Body),
+		CallerService: run.CallerService, Organisations: run.Organisations, HasKey: run.HasKey, StartMillis: run.StartTime.UnixMilli(),
+		Incomplete: run.Incomplete, WrongRest: AnswersEarly(run.ID) && run.Body != uniqueBody(run.ID, len(run.Body)),
+	}
+	if !drainAckedAt.IsZero() {
+		record.DrainAckedMillis = drainAckedAt.UnixMilli()
+	}
+	return record
+}
+
 // AckedConfig is the record of a configuration that the store acknowledged.
 type AckedConfig struct {
 	Version int `json:"version"`
