A retry that a restarted gate refuses for its budget goes to one more target

Callers whose idempotent request lost its response got 502 if the retry came to a node that had been restarted within the last 10 s, though other targets of the service had all of their parts of the budget.

Cause: a retry was given up once a gate refused it for the budget. A gate that has run for less than a window has a small part only, which says nothing about the others.

Change: such a gate refuses with RetryAfter zero, and the sender asks one more target, once. Each gate holds its own part, so the sum over the service stays bounded. A storm after a kill of all nodes costs at most one more hop for each retry.

TestRetriesWithinAWindowAfterARestart now also checks RetryAfter of the refusals.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -30,6 +30,9 @@
 	// maxBrokenConnections is the number of connections to targets that may break under
 	// a request before it is not sent again: the targets may have crashed because of it.
 	maxBrokenConnections = 2
+	// maxBudgetRefusals is the number of targets that may refuse a retry for lack of retry
+	// budget before it is given up.
+	maxBudgetRefusals = 2
 	// noTargetRetryAfter is the Retry-After if no target can be reached. A peer
 	// that was unreachable is usually reachable again after about that time.
 	noTargetRetryAfter = 400 * time.Millisecond
@@ -56,6 +59,8 @@
 	// brokenConnections counts the connections to targets that broke under the request,
 	// and one more if it is a suspect.
 	brokenConnections int
+	// budgetRefusals counts the refusals for lack of retry budget.
+	budgetRefusals int
 	// attempts counts all attempts.
 	attempts int
 	// chosen is the target of the last attempt with its load at that time.
@@ -159,6 +164,9 @@
 	if r.reason == string(exchange.KindBroken) {
 		d.brokenConnections++
 	}
+	if r.reason == string(gate.RefusedRetryBudget) {
+		d.budgetRefusals++
+	}
 	d.mayHaveRun = d.mayHaveRun || r.response != nil || r.outcome != request.NotRun
 	if r.retryAfter > 0 && (d.retryAfter == 0 || r.retryAfter < d.retryAfter) {
 		d.retryAfter = r.retryAfter
@@ -186,7 +194,10 @@
 	if ctx.Err() != nil || time.Until(d.request.admission.Deadline) < minRetryTime {
 		return false
 	}
-	if r.response != nil && !r.isTargetError() || r.reason == string(gate.RefusedRetryBudget) {
+	if r.response != nil && !r.isTargetError() {
+		return false
+	}
+	if r.reason == string(gate.RefusedRetryBudget) && (r.retryAfter > 0 || d.budgetRefusals >= maxBudgetRefusals) {
 		return false
 	}
 	if d.brokenConnections >= maxBrokenConnections || r.reason == string(gate.RefusedQuarantined) || r.reason == reasonKeyWithdrawn {
--- a/process/gate/budget.go
+++ b/process/gate/budget.go
@@ -61,3 +61,12 @@
 // ConfirmOneProcessBefore records that the process of the node before this one had the whole
 // slack, so that those before it ended longer than a window ago.
 func (g *Gate) ConfirmOneProcessBefore() { g.followsWholeSlack = true }
+
+// budgetRetryAfter returns the RetryAfter of a refusal by the retry budget. Before SlackFrom
+// it is zero: the gates of other targets may have the part that this one lacks.
+func (g *Gate) budgetRetryAfter(now time.Time) time.Duration {
+	if now.Before(g.settings.SlackFrom) {
+		return 0
+	}
+	return minRetryAfter
+}
--- a/process/gate/budget_test.go
+++ b/process/gate/budget_test.go
@@ -40,8 +40,14 @@
 			for i := range firsts {
 				req := newRequest(fmt.Sprint("r", i), start)
 				req.Retry, req.MayHaveRun = true, mayHaveRun
-				if g.Admit(req, start).Admitted() {
+				decision := g.Admit(req, start)
+				if decision.Admitted() {
 					got++
+					continue
+				}
+				// Other targets may have room if this one lacks its whole part.
+				if elsewhere := decision.RetryAfter == 0; decision.Refused != RefusedRetryBudget || elsewhere != (test.slackFrom > 0) {
+					t.Fatalf("%s: %+v", test.name, decision)
 				}
 			}
 			if got != want {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -178,7 +178,7 @@
 	case !req.Deadline.After(now):
 		return RefusedLate, minRetryAfter
 	case req.Retry && !g.allowsRetry(req, now):
-		return RefusedRetryBudget, minRetryAfter
+		return RefusedRetryBudget, g.budgetRetryAfter(now)
 	}
 	if req.NonIdempotent {
 		return g.seen.precheck(req.ID)
--- a/process/gate/request.go
+++ b/process/gate/request.go
@@ -84,7 +84,7 @@
 	// RefusedSlow means that a request with alternatives would run slowly here.
 	RefusedSlow Refusal = "slow"
 	// RefusedRetryBudget means that the retry budget is spent, or its part for
-	// requests that may have run.
+	// requests that may have run. If RetryAfter is zero, other targets may have some left.
 	RefusedRetryBudget Refusal = "repeat-budget"
 	// RefusedQuarantined means that targets crashed while they ran the request.
 	RefusedQuarantined Refusal = "quarantined"
