Metrics: admitted requests by what they are in the retry budget

Callers saw no difference. When a service got more retries than its budget allows, on-call could not compare what the gates had counted with what the targets got: gates counted their refusals only.

Change: gate.admitted.first, gate.admitted.retry and gate.admitted.caused-by-retry count the requests that a gate admits. Their sums over the nodes of a service show how much of the budget is used, and by which kind.

--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -104,6 +104,7 @@
 		t.node.events.gateRefused(req, reason, retryAfter, r.load)
 		return r
 	}
+	t.node.metrics.gateAdmitted(&req.admission)
 	r := t.send(ctx, req)
 	r.load, r.hasLoad = loadOf(t.state(time.Now())), true
 	return r
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -156,3 +156,15 @@
 func (m *nodeMetrics) gateRefused(reason gate.Refusal) {
 	metrics.GetOrRegisterCounter("gate.refused."+string(reason), m.registry).Inc(1)
 }
+
+// gateAdmitted counts a request that the gate admitted, by what it is in the retry budget.
+func (m *nodeMetrics) gateAdmitted(req *gate.Request) {
+	kind := "first"
+	switch {
+	case req.Retry:
+		kind = "retry"
+	case req.CausedByRetry:
+		kind = "caused-by-retry"
+	}
+	metrics.GetOrRegisterCounter("gate.admitted."+kind, m.registry).Inc(1)
+}
--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"verbenatrestle/platform"
 	"verbenatrestle/platform/standin"
+	"verbenatrestle/process/gate"
 )
 
 // loseFirst makes the targets beside the nodes lose the response to the first send of each
@@ -74,3 +77,27 @@
 		}
 	}
 }
+
+// The service got more retries than its budget allowed, and no metric showed which of the sends
+// the gates had counted as retries.
+func TestGateCountsAdmittedRequestsByKind(t *testing.T) {
+	f := newTestFleet(t)
+	f.adjust = func(s *Settings) { s.FirstStart = true }
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	a, b := f.add(quick), f.add(quick)
+	f.settled(1)
+	sends := loseFirst(a, b)
+	if got := a.call(t, http.MethodGet, "/s/1", "r", ""); got.status != http.StatusOK || sends("r") != 2 {
+		t.Fatalf("%d after %d sends, want 200 after 2", got.status, sends("r"))
+	}
+	a.metrics.gateAdmitted(&gate.Request{CausedByRetry: true})
+	for kind, want := range map[string]int64{"first": 1, "retry": 1, "caused-by-retry": 1} {
+		admitted := int64(0)
+		for _, n := range f.nodes {
+			admitted += metrics.GetOrRegisterCounter("gate.admitted."+kind, n.metrics.registry).Count()
+		}
+		if admitted != want {
+			t.Errorf("%d admitted as %s, want %d", admitted, kind, want)
+		}
+	}
+}
