Order the announcements of targets by the start of their processes

What callers saw: a request of one service was run by the process of another. A late announcement of a process that had ended replaced the connections, and with them the service, of the process that lives.

Cause: a node took each announcement as the present one. The admission controller ignored those of replaced instances, but for good, and the connections didn't follow it.

Evidence: TestLateAnnouncementOfPastInstanceIsIgnored failed on the code before, "1 runs, want 0". With the former rule put back into this commit it failed 3 of 3, as did TestFirstAnnouncementsAreOrderedByStart and TestLivingTargetReturnsAfterLateAnnouncement, and 4 of the 9 cases of TestAnnouncementsAreOrderedByStart.

Change: an announcement may carry started_ms, the start of the process. While a target is present, announcements of other instances that did not start later are outdated: ignored, and logged. Once the present target is absent, nothing is. The controller decides, and the connections follow it. The stand-in sends its start.

Why it works: a process that has taken over started after the one before it. A wrong start, after a step of the clock, or a late announcement without a start that came first after a restart of the node delays a living target only until the other one is absent: after 4 s, or as soon as a new connection names another instance or is refused.

Tests: TestConnectionsFollowTheAnnouncementAtTheSameTime gives its two processes their starts, since two announcements without starts in the order present, former, present now mean that the first was replaced. It holds what it held before, and that the present one is kept without being announced again; it fails 3 of 3 with the lock taken out that it was written for.

Measured, with -race beside a load of 21 to 30 on 8 processors, once each: all of ./node passes (86 specs and the tests beside them), ./process/admission and ./internal/standin/target pass.

--- a/internal/standin/target/announce.go
+++ b/internal/standin/target/announce.go
@@ -35,6 +35,8 @@
 	Slots        int    `json:"slots"`
 	Connections  int    `json:"connections"`
 	ColdLimit    int    `json:"cold_limit"`
+	// StartedMillis is the start of the instance, in Unix milliseconds.
+	StartedMillis int64 `json:"started_ms"`
 }
 
 // drainRequest is the body of a request to drain the target.
@@ -69,6 +71,7 @@
 	t.mu.Lock()
 	draining := t.draining
 	instance := t.instance
+	started := t.started
 	t.mu.Unlock()
 	if draining {
 		return nil
@@ -83,6 +86,8 @@
 		Slots:        t.options.Slots,
 		Connections:  t.options.MaxConnections,
 		ColdLimit:    t.options.ColdLimit,
+
+		StartedMillis: started.UnixMilli(),
 	})
 }
 
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -65,6 +65,7 @@
 	mu             sync.Mutex
 	rng            *rand.Rand
 	instance       string
+	started        time.Time
 	capacity       capacity
 	stats          Stats
 	faults         faults
@@ -93,6 +94,7 @@
 		client:   &http.Client{},
 		rng:      rand.New(rand.NewPCG(options.Seed, 0)),
 		instance: options.Instance,
+		started:  time.Now(),
 		faults:   faults{slowFactor: 1, loadReportFactor: 1, changed: make(chan struct{})},
 		capacity: capacity{
 			slots:           options.Slots,
@@ -180,6 +182,7 @@
 	t.endInstance()
 	t.instanceCtx, t.endInstance = context.WithCancel(context.Background())
 	t.instance = uuid.NewString()
+	t.started = time.Now()
 	t.capacity.responses = 0
 	t.stats.Crashes++
 	t.mu.Unlock()
--- a/node/announce.go
+++ b/node/announce.go
@@ -35,6 +35,8 @@
 	Slots        int    `json:"slots"`
 	Connections  int    `json:"connections"`
 	ColdLimit    int    `json:"cold_limit"`
+	// StartedMillis is the start of the process, in Unix milliseconds. It is optional.
+	StartedMillis int64 `json:"started_ms"`
 }
 
 // check returns an error that names the first invalid field, or nil.
@@ -48,6 +50,9 @@
 	if a.Instance == "" {
 		return errors.New("instance: must be set")
 	}
+	if a.StartedMillis < 0 {
+		return errors.Errorf("started_ms: %d is negative", a.StartedMillis)
+	}
 	if a.Slots < 1 || a.Slots > maxConnections {
 		return errors.Errorf("slots: %d is not from 1 to %d", a.Slots, maxConnections)
 	}
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -66,7 +66,7 @@
 
 // announce processes an announcement and returns the state of the target. A new
 // service, instance, address or number of connections, also one from a changed limit,
-// replaces the connections.
+// replaces the connections. Outdated announcements are ignored.
 func (t *localTarget) announce(a announcement) load.State {
 	crash, now := t.replaceAnnouncement(a)
 	t.proxy.reportCrash(crash, now)
@@ -81,6 +81,13 @@
 	now := time.Now()
 	t.mu.Lock()
 	target := t.withinLimits(a)
+	if t.proxy.admission.Outdated(target) {
+		current := t.announced.Instance
+		t.mu.Unlock()
+		_ = level.Info(t.logger).Log("msg", "outdated announcement", "service", a.service(), "instance", a.Instance,
+			"started_ms", a.StartedMillis, "current", current)
+		return nil, now
+	}
 	changed := t.announced.service() != a.service() || t.announced.Instance != a.Instance ||
 		t.announced.Address != a.Address || t.connections != target.Connections
 	t.announced = a
@@ -111,10 +118,11 @@
 	}
 	slots := within(a.Slots, limits.Slots)
 	return admission.Target{
-		Instance:    a.Instance,
-		Slots:       slots,
-		Connections: within(a.Connections, limits.Connections),
-		ColdLimit:   min(within(a.ColdLimit, limits.ColdLimit), slots),
+		Instance:      a.Instance,
+		StartedMillis: a.StartedMillis,
+		Slots:         slots,
+		Connections:   within(a.Connections, limits.Connections),
+		ColdLimit:     min(within(a.ColdLimit, limits.ColdLimit), slots),
 	}
 }
 
--- a/process/admission/controller.go
+++ b/process/admission/controller.go
@@ -89,11 +89,11 @@
 
 // Announce handles an announcement of the target. A new instance is cold.
 // Announce returns the crash of the replaced instance, or nil if nothing was in
-// flight there. Late announcements of past instances are ignored.
+// flight there. Outdated announcements are ignored.
 func (c *Controller) Announce(target Target, now time.Time) *Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if slices.Contains(c.pastInstances, target.Instance) {
+	if c.outdated(target) {
 		return nil
 	}
 	if target.Instance == c.target.Instance && c.target.Instance != "" {
@@ -103,6 +103,29 @@
 	return c.replaceInstance(target, now)
 }
 
+// Outdated reports whether an announcement is of a process that ended before the
+// current one started.
+func (c *Controller) Outdated(target Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outdated(target)
+}
+
+// outdated compares the starts of both processes, or, if one of them is unknown,
+// looks for the instance among the replaced ones. Nothing is outdated while the
+// current instance is lost: a start may be wrong after a step of the clock, and the
+// instance that replaced a running one may have been the late one.
+func (c *Controller) outdated(target Target) bool {
+	switch {
+	case !c.present || target.Instance == c.target.Instance:
+		return false
+	case target.StartedMillis > 0 && c.target.StartedMillis > 0:
+		return target.StartedMillis <= c.target.StartedMillis
+	default:
+		return slices.Contains(c.pastInstances, target.Instance)
+	}
+}
+
 // reannounce handles a further announcement of the current instance.
 func (c *Controller) reannounce(target Target, now time.Time) {
 	returned := !c.present
@@ -124,6 +147,7 @@
 func (c *Controller) replaceInstance(target Target, now time.Time) *Crash {
 	crash := c.takeCrash(now)
 	c.retireInstance(c.target.Instance)
+	c.pastInstances = slices.DeleteFunc(c.pastInstances, func(past string) bool { return past == target.Instance })
 	c.target = target
 	c.present = true
 	c.draining = false
--- a/process/admission/types.go
+++ b/process/admission/types.go
@@ -13,6 +13,9 @@
 type Target struct {
 	// Instance identifies one run of the target's process.
 	Instance string
+	// StartedMillis is the start of the process, in Unix milliseconds. Zero means that the
+	// target didn't announce it.
+	StartedMillis int64
 	// Slots is how many requests the target can run at once when it is warm.
 	Slots int
 	// Connections is how many connections the target accepts. Zero means no
