Each rejection of a request that no target took names a Retry-After

Callers whose request no target took got 503 without Retry-After if no refusal named a delay, and came back at once: after a refusal for another service at the target, after hops that could not be opened, and, since a restarted gate refuses a retry without a delay so that one more target is asked, also for lack of retry budget.

Cause: the delay of the response was the longest that refusals named, zero included.

Change: without a named delay it is noTargetRetryAfter, as if no target could be reached.

TestRejectionAlwaysHasRetryAfter failed before (0 s, want 400 ms), and passes.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -33,8 +34,9 @@
 	// maxBudgetRefusals is the number of targets that may refuse a retry for lack of retry
 	// budget before it is given up.
 	maxBudgetRefusals = 2
-	// noTargetRetryAfter is the Retry-After if no target can be reached. A peer
-	// that was unreachable is usually reachable again after about that time.
+	// noTargetRetryAfter is the Retry-After if no target can be reached, or if no
+	// refusal names a delay. A peer that was unreachable is usually reachable again
+	// after about that time.
 	noTargetRetryAfter = 400 * time.Millisecond
 )
 
@@ -228,7 +230,7 @@
 	switch {
 	case f.Outcome == request.NotRun:
 		f.Status, f.Title = http.StatusServiceUnavailable, "no target takes the request"
-		f.RetryAfter = max(d.retryAfter, r.retryAfter)
+		f.RetryAfter = cmp.Or(max(d.retryAfter, r.retryAfter), noTargetRetryAfter)
 	case time.Now().After(d.request.admission.Deadline):
 		f.Status, f.Title = http.StatusGatewayTimeout, "no answer in time"
 	default:
