--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -253,7 +253,7 @@
 		return r.URL.Host
 	}
 	_, rest, found := strings.Cut(r.RequestURI, "://")
-	if !found {
+	if !found || r.URL.Host == "" {
 		return r.RequestURI
 	}
 	start := strings.IndexAny(rest, "/?")
--- a/connection/pipeline/framing_test.go
+++ b/connection/pipeline/framing_test.go
@@ -91,3 +91,28 @@
 		}
 	}
 }
+
+// Of a target with a scheme and no host, such as "x:y://z/path", the part from the path on was taken for
+// the target, so a request was run with another one than was sent.
+func TestOnlyWholeURLsAreShortened(t *testing.T) {
+	_, address := serve(t, testLimits, echo)
+	for target, want := range map[string]string{
+		"http://h/a?b=1":  "/a?b=1",
+		"http://h?b":      "/?b",
+		"http://u:p@h/a/": "/a/",
+		"x:y://z/a":       "x:y://z/a",
+		"x:/a":            "x:/a",
+		"http:///a":       "http:///a",
+		"//h/a":           "//h/a",
+		"/a?":             "/a?",
+		"*":               "*",
+	} {
+		c, reader := dial(t, address)
+		if _, err := io.WriteString(c, "GET "+target+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, body := read(t, reader); body != want+":" {
+			t.Errorf("%s is %q, want %q", target, body, want+":")
+		}
+	}
+}
