Pass path and query on in the bytes that the caller sent

What callers saw: a request whose path or query has unusual bytes reached the target changed. A number sign in the query cut off all after it: /s/x?n=1#2&m=3 ran as /s/x?n=1. In the path it became %23, as other characters that are usually encoded (| ^ ") and bytes beyond ASCII were encoded.

Cause: node/ parsed the request target and wrote it anew, at the first node and at the hop, and parsed it again for the request to the next one, where a number sign begins a fragment. gateway/ passes the bytes on.

Change: nodes keep the request target as received, and give it to net/http as an opaque one. A request target in absolute form is still reduced to its path and query.

Why it works: net/http writes opaque request targets as they are. Requests with two slashes at the start, which it would take for a host, have no route.

--- a/node/bufferedrequest.go
+++ b/node/bufferedrequest.go
@@ -29,7 +29,7 @@
 	config uint64
 	// caller is the service whose share of a full target the request uses.
 	caller version.ServiceID
-	// method and uri are as the caller sent them.
+	// method and uri, the path and query, are as the caller sent them.
 	method string
 	uri    string
 	// header holds the caller's headers that go to the target.
@@ -59,10 +59,12 @@
 	if !ok {
 		return nil, errDeadline
 	}
-	r, err := http.NewRequestWithContext(ctx, req.method, base+req.uri, req.newBody())
+	r, err := http.NewRequestWithContext(ctx, req.method, base, req.newBody())
 	if err != nil {
 		return nil, errors.Wrapf(err, "make request for %s", base)
 	}
+	// A parsed path or query would be written in other bytes.
+	r.URL.Opaque = req.uri
 	r.ContentLength = int64(len(req.body))
 	r.Header = req.header.Clone()
 	r.Header.Set(request.HeaderRequestID, req.id)
@@ -73,6 +75,15 @@
 	return r, nil
 }
 
+// pathAndQuery returns the path and query of a received request in the bytes that were
+// sent, except for a request target in absolute form.
+func pathAndQuery(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // errDeadline means that too little time remains to forward a request.
 var errDeadline = errors.New("no time left before the deadline")
 
--- a/node/hopserver.go
+++ b/node/hopserver.go
@@ -132,7 +132,7 @@
 		config:      config,
 		caller:      version.ServiceID(h.Get(request.HeaderCaller)),
 		method:      r.Method,
-		uri:         r.URL.RequestURI(),
+		uri:         pathAndQuery(r),
 		header:      endToEnd(h),
 		body:        body,
 		key:         h.Get(request.HeaderIdempotencyKey),
