A health check no longer makes a warm target cold for requests of a moment before

Callers got 503 with the reason "cold" from a node whose target never turned cold: more than the cold rate of requests had arrived within a second, a health check had just found the target warm, and no other target had room.

Cause: ApplyHealthCheck set the end of the cold time to the time of the check, also when nothing of it remained. A request reads the clock before it takes the lock of the gate. If the check took the lock in between, the request came "before the end of the cold time", and the gate refused it or made it wait for its cold rate.

Change: a check that finds the target warm clears the time. Any request then finds it warm, whatever it read from the clock.

--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -174,7 +174,10 @@
 	if cold := coldRemaining > 0; cold != g.cold(now) {
 		changed = true
 	}
-	g.coldUntil = now.Add(coldRemaining)
+	g.coldUntil = time.Time{} // warm also for requests that read the clock before now
+	if coldRemaining > 0 {
+		g.coldUntil = now.Add(coldRemaining)
+	}
 	g.dispatch(now)
 	return changed
 }
