--- a/process/gate/cold_test.go
+++ b/process/gate/cold_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// A health check found a warm target, and a request that had read the clock before was refused
-// as if the target were cold.
+// A request that had read the clock before a health check found the target warm was refused as cold.
 func TestTargetFoundWarmIsWarmForRequestsOfAMomentBefore(t *testing.T) {
 	g := newTestGate(18)
 	const perSecond = 100
