Test of request ids: a third target for requests that lose their responses

Traced with the nodes' logs: each target breaks the connection of the first attempt at an id, and a target whose last two connections broke counts as down until its next health check. If one of the two targets of the service was down so and the other one lost the response, there was no third to ask. Which target is asked first is chosen at random.

The test is about ids, which it checks as before in all attempts that arrive.

--- a/gateway/headers_test.go
+++ b/gateway/headers_test.go
@@ -24,7 +24,7 @@
 	f.adjust = func(s *Settings) { s.FirstStart = true } // so that several lost responses are repeated
 	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
 	recorder := &headerRecorder{headers: map[string][]http.Header{}}
-	for _, service := range []string{"s", "u", "u"} {
+	for _, service := range []string{"s", "u", "u", "u"} {
 		recorder.record(f.add(testTarget{service: service, slots: 8, work: time.Millisecond}).target, "/lose")
 	}
 	f.settled(1)
@@ -86,7 +86,7 @@
 	f.adjust = func(s *Settings) { s.FirstStart = true } // so that the failed request is repeated at once
 	f.store.Put("config", "main", standin.ConfigForServices(1, "s", "u"))
 	var failures atomic.Int32
-	for _, service := range []string{"s", "u", "u"} {
+	for _, service := range []string{"s", "u", "u", "u"} {
 		f.add(testTarget{service: service, slots: 8, work: time.Millisecond}).target.Intercept(func(w http.ResponseWriter, r *http.Request) bool {
 			for name, value := range reservedHeaders() {
 				w.Header().Set(name, value)
