Check of a target's instance: interim responses, late and missing load reports

Callers of a target that answers the load report with an interim response first got the load report as the answer to their request. Callers of a target whose load report takes over 500 ms got 503, though it was served before; load endpoints may lag. And a target that closes each connection got one more request for its load with each of them.

Cause: the first response, interim or not, was taken for the final one; a late answer counted as a target that can't be reached; what a check had shown about a target was not kept.

Change: interim responses are skipped; a target that does not answer within 100 ms is served unchecked; one that names no instance or closes the connection is not asked again until it announces another instance.

--- a/node/instancecheck.go
+++ b/node/instancecheck.go
@@ -13,36 +13,43 @@
 	"verbenatrestle/request"
 )
 
-// maxCheckBytes bounds the answer, with its head, that checkInstance reads.
-const maxCheckBytes = 16 << 10
+const (
+	// maxCheckBytes bounds the answers, with their heads, that checkInstance reads.
+	maxCheckBytes = 16 << 10
+	// checkTimeout bounds the wait for the load report of a target, which may lag.
+	checkTimeout = 100 * time.Millisecond
+)
 
 // errOtherInstance means that another process listens at the address of the
 // announced instance.
 var errOtherInstance = errors.New("another instance listens at the address")
 
 // openChecked opens a connection to the announced instance. It returns
-// errOtherInstance if the target names another one. Targets that name none, or
-// that end connections after each answer, can't be checked and are accepted.
+// errOtherInstance if the target names another one. Targets that name none, that
+// end connections after each answer or whose answer is late can't be checked and are
+// accepted.
 func (c *targetClient) openChecked(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	conn, err := c.dialer.DialContext(ctx, network, address)
-	if err != nil || c.instance == "" {
+	if err != nil || c.instance == "" || c.uncheckable.Load() {
 		return conn, err
 	}
-	deadline, _ := ctx.Deadline()
-	reusable, err := c.checkInstance(conn, deadline)
+	reusable, err := c.checkInstance(conn, time.Now().Add(checkTimeout))
 	if err == nil && reusable {
 		return conn, nil
 	}
 	_ = conn.Close()
+	if err == nil || isTimeout(err) {
+		return c.dialer.DialContext(ctx, network, address)
+	}
 	if errors.Is(err, errOtherInstance) {
 		c.onOtherInstance()
 	}
-	if err != nil {
-		return nil, errors.Wrap(err, "check instance")
-	}
-	return c.dialer.DialContext(ctx, network, address)
+	return nil, errors.Wrap(err, "check instance")
+}
+
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
 }
 
 // checkInstance requests the load report on a new connection, which belongs to one
@@ -61,7 +68,7 @@
 	}
 	limited := &io.LimitedReader{R: conn, N: maxCheckBytes}
 	reader := bufio.NewReader(limited)
-	resp, err := http.ReadResponse(reader, r)
+	resp, err := readFinalResponse(reader, r)
 	if err != nil {
 		return false, err
 	}
@@ -70,9 +77,13 @@
 	if err != nil && limited.N > 0 {
 		return false, err
 	}
-	if instance := reportedInstance(resp.Header, body); instance != "" && instance != c.instance {
+	instance := reportedInstance(resp.Header, body)
+	if instance != "" && instance != c.instance {
 		return false, errors.Wrapf(errOtherInstance, "want %q, got %q", c.instance, instance)
 	}
+	if instance == "" || resp.Close {
+		c.uncheckable.Store(true)
+	}
 	// Bytes beyond the answer would be taken for the answer to the first request.
 	if err != nil || resp.Close || reader.Buffered() > 0 {
 		return false, nil
@@ -80,6 +91,16 @@
 	return true, conn.SetDeadline(time.Time{})
 }
 
+// readFinalResponse reads a response and skips the interim ones before it.
+func readFinalResponse(reader *bufio.Reader, r *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(reader, r)
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
 // reportedInstance returns the instance that the answer to a load poll names, or "".
 func reportedInstance(h http.Header, body []byte) string {
 	if instance := h.Get(request.HeaderInstance); instance != "" {
--- a/node/targetclient.go
+++ b/node/targetclient.go
@@ -32,6 +32,9 @@
 	// instance is the announced instance, which new connections must reach. If it is
 	// empty, they are not checked.
 	instance string
+	// uncheckable is set once the target has named no instance or ended a connection
+	// after its answer. Further connections are not checked then.
+	uncheckable atomic.Bool
 	// onOtherInstance is called if a new connection reaches another instance.
 	onOtherInstance func()
 	address         string
