UNASKED in node/: a request was run that was hidden behind chunks

Callers of node/ could hide a request in the body of another one, as in gateway/: of a POST with a length and chunks, the bytes behind the last chunk were handled as the next request of the connection, and so was the body of an HTTP/1.0 request with chunks.

Cause: net/http's server takes the chunks of a length and chunks, ignores chunks before HTTP/1.1, keeps the connection, and removes both headers, so that a handler can't see the conflict.

Evidence: found by the review.

Change: requests with chunks, and those before HTTP/1.1, close their connection after the response, as RFC 9112, 6.1 asks for such with a length. Callers that send chunks open a new connection for each request; the nodes' own hops have a length.

--- a/node/servers.go
+++ b/node/servers.go
@@ -67,6 +67,18 @@
 	})
 }
 
+// closeAfterDoubtfulFraming sets "Connection: close" on the responses to requests of which net/http
+// does not tell whether the end of their body is in doubt: those with chunks may have a length
+// too, and those before HTTP/1.1 chunks that are not read.
+func closeAfterDoubtfulFraming(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && (len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1)) {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // servers holds the node's HTTP servers.
 type servers struct {
 	logger   log.Logger
@@ -85,7 +97,7 @@
 	server := func(address string, handler http.Handler, idle time.Duration) *http.Server {
 		return &http.Server{
 			Addr:              address,
-			Handler:           handler,
+			Handler:           closeAfterDoubtfulFraming(handler),
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idle,
 			MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
