Deliver an early response at once, and let its connection finish the body

What callers saw: a target that answers a request with a long body before it has read the body, keeps the connection and reads on later, had its response withheld until it had read everything, for up to bodyWriteGrace (2 s). A target that took longer got only a part of the body.

Cause: roundTrip waited for the write of the request before it returned the response, so that the next request on the connection does not start in the middle of the body. The wait is right for the connection, not for the response.

Evidence: before the change, TestEarlyResponseDoesNotWaitForTheBody failed: the response took 2.00 s and the server got no whole body, as it read on after the response had been used. Both cases of TestBodyThatIsNeverReadEndsItsConnection failed, with responses after 2.00 s.

Change: Do returns the response at once. A connection whose request is not yet written is kept for the next request by a goroutine, once the write has ended, or closed after bodyWriteGrace. The body stays in memory after the handler of the caller's request has returned, so it counts for Options.Memory meanwhile; if that does not allow it, the connection is closed. How long a connection has been idle is counted from its last response (or its opening), no longer from the end of the write, which proves nothing about the server.

Why it works: a connection is in the list of idle ones only after its whole request was written, so no request can follow a part of a body. While the write goes on it counts as open, so the limit of connections to a target holds.

On a scratch copy, keeping the connection at once failed the first test, and leaving out the budget failed "no memory" of the second.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -40,7 +40,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idleSince is the time when the last response was complete.
+	// idleSince is the time when the last response was complete, or the connection was opened.
 	idleSince time.Time
 	// keepAlive is the idle timeout that the server announced in the Keep-Alive
 	// header of its last response, or zero if there was none.
@@ -67,7 +67,7 @@
 }
 
 func newConn(c net.Conn) *conn {
-	wrapped := &conn{Conn: c}
+	wrapped := &conn{Conn: c, idleSince: time.Now()}
 	wrapped.reader = bufio.NewReaderSize(wrapped, readBufferSize)
 	return wrapped
 }
@@ -143,29 +143,30 @@
 }
 
 // roundTrip sends the request and reads its response. The second result reports
-// whether the connection may be used again. The end of ctx fails pending reads
-// and writes.
-func (c *conn) roundTrip(ctx context.Context, request *Request, options *Options) (*Response, bool, error) {
+// whether the connection may be used again, once the channel receives nil if there is one:
+// then the request is still being written. The end of ctx fails pending reads and writes.
+func (c *conn) roundTrip(ctx context.Context, request *Request, options *Options) (*Response, bool, <-chan error, error) {
 	c.begin(request.ReadTimeout)
 	stop := context.AfterFunc(ctx, c.cancel)
 	defer stop()
 	requestWritten, err := c.writeRequest(request)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "write request")
+		return nil, false, nil, errors.Wrap(err, "write request")
 	}
 	response, reusable, err := c.readMatchingResponse(request, options)
 	if err != nil {
-		return nil, false, err
+		return nil, false, nil, err
 	}
+	c.idleSince = time.Now()
 	if !stop() || request.ReadTimeout > 0 && c.SetReadDeadline(time.Time{}) != nil {
 		reusable = false
 	}
-	return response, reusable && c.awaitRequestWritten(requestWritten), nil
+	return response, reusable, requestWritten, nil
 }
 
 // writeRequest writes the request. A body longer than maxInlineBodyBytes is
 // written in the background, so that the response can be read at the same time;
-// the returned channel then receives the result of the write.
+// the returned channel, which is nil otherwise, then receives the result of the write.
 func (c *conn) writeRequest(request *Request) (<-chan error, error) {
 	head := request.head()
 	if len(request.Body) <= maxInlineBodyBytes {
@@ -182,21 +183,6 @@
 	return written, nil
 }
 
-// awaitRequestWritten waits until the whole request is written, so that the
-// next request on the connection does not start in the middle of its body. It
-// reports whether that succeeded within bodyWriteGrace.
-func (c *conn) awaitRequestWritten(requestWritten <-chan error) bool {
-	if requestWritten == nil {
-		return true
-	}
-	select {
-	case err := <-requestWritten:
-		return err == nil
-	case <-time.After(bodyWriteGrace):
-		return false
-	}
-}
-
 // readMatchingResponse reads the response to the request, and skips responses
 // to other requests. After one without the ID, the connection may not be used again:
 // a second copy of it would be taken for the response to the next request.
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -112,7 +112,7 @@
 		return nil, err
 	}
 	watch := p.watchForSilence(ctx, c, request.LeaveUnreachable)
-	response, reusable, err := c.roundTrip(ctx, request, &p.options)
+	response, reusable, requestWritten, err := c.roundTrip(ctx, request, &p.options)
 	watch.stop()
 	if err != nil {
 		p.discard(c)
@@ -121,12 +121,50 @@
 		}
 		return nil, &Error{Kind: p.classify(ctx, err), RemoteAddr: p.address, MaybeSent: true, Cause: err}
 	}
-	if reusable && c.givenUp.Load() == nil {
+	switch {
+	case !reusable || c.givenUp.Load() != nil:
+		p.discard(c)
+	case requestWritten != nil:
+		p.keepOnceWritten(c, requestWritten, len(request.Body))
+	default:
+		p.putIdle(c)
+	}
+	return response, nil
+}
+
+// keepOnceWritten keeps a connection for the next request once the whole last one is written,
+// so that the next one does not start in the middle of a body. A server that has responded early
+// may take bodyWriteGrace to read the rest. Meanwhile, the body counts for Options.Memory.
+func (p *Pool) keepOnceWritten(c *conn, requestWritten <-chan error, bodyBytes int) {
+	select {
+	case err := <-requestWritten:
+		p.keepIf(c, err == nil)
+		return
+	default:
+	}
+	memory := p.options.Memory.Body()
+	if !memory.Grow(int64(bodyBytes)) {
+		p.discard(c)
+		return
+	}
+	go func() {
+		defer memory.Release()
+		select {
+		case err := <-requestWritten:
+			p.keepIf(c, err == nil)
+		case <-time.After(bodyWriteGrace):
+			p.discard(c)
+		}
+	}()
+}
+
+// keepIf keeps a connection for the next request, or closes it.
+func (p *Pool) keepIf(c *conn, usable bool) {
+	if usable {
 		p.putIdle(c)
 	} else {
 		p.discard(c)
 	}
-	return response, nil
 }
 
 // classify returns the Kind of an error on a connection that was used with ctx.
@@ -231,7 +269,6 @@
 // putIdle keeps a connection for the next request, or closes it if the pool is
 // closed or has too many.
 func (p *Pool) putIdle(c *conn) {
-	c.idleSince = time.Now()
 	p.mu.Lock()
 	if limit := p.options.MaxOpenConnections; p.closed || limit > 0 && p.openConnections > limit {
 		p.mu.Unlock()
