--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -150,15 +150,20 @@
 
 func (j *Journal) flush() { _ = j.out.Flush() }
 
+// takeDropped returns the counts of dropped lines by event since the previous call. No line
+// is counted in the returned map any more.
+func (j *Journal) takeDropped() map[string]int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	dropped := j.droppedByEvent
+	j.droppedByEvent = make(map[string]int)
+	return dropped
+}
+
 // report logs how many lines were dropped since the previous report, and of
 // which events.
 func (j *Journal) report() {
-	j.mu.Lock()
-	dropped := j.droppedByEvent
-	if len(dropped) > 0 {
-		j.droppedByEvent = make(map[string]int)
-	}
-	j.mu.Unlock()
+	dropped := j.takeDropped()
 	if len(dropped) == 0 {
 		return
 	}
--- a/process/journal/journal_test.go
+++ b/process/journal/journal_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -108,3 +109,20 @@
 	cancel()
 	<-ended
 }
+
+// Lines that were dropped while a report found none were written to the map that it read, which
+// can end the process.
+func TestLinesAreDroppedDuringAReport(t *testing.T) {
+	j := New(io.Discard, Rates{}, metrics.NewRegistry())
+	const rounds = 2000
+	var reports sync.WaitGroup
+	reports.Go(func() {
+		for range rounds {
+			j.report()
+		}
+	})
+	for range rounds {
+		j.drop("request")
+	}
+	reports.Wait()
+}
