--- a/connection/pipeline/framing_test.go
+++ b/connection/pipeline/framing_test.go
@@ -102,6 +102,8 @@
 		"http://u:p@h/a/": "/a/",
 		"x:y://z/a":       "x:y://z/a",
 		"x:/a":            "x:/a",
+		"x:/q?u=y://z/a":  "x:/q?u=y://z/a",
+		"HTTP://h/a":      "/a",
 		"http:///a":       "http:///a",
 		"//h/a":           "//h/a",
 		"/a?":             "/a?",
