MIXED: responses with a space after a header's name passed for whole ones

A caller got a successful response with a signature whose body was not that of the target: a part of it after "Content-Length : 20", or the raw chunks after "Transfer-Encoding : chunked", with a length that fits.

Cause: as in, on the other side: http.ReadResponse lets names with a space through and keeps them apart from those without, so the header about the length had no effect.

Change: such a response is malformed, and the request may have run. The check of names is one function for both directions.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -275,6 +275,12 @@
 		if err != nil {
 			return nil, classifyParseError(err)
 		}
+		if HasInvalidName(response.Header) {
+			err := errors.Wrap(errMalformedResponse, "invalid header line")
+			c.stopReading(err)
+			_ = response.Body.Close() // the connection is not used any more
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/connection/pipeline/framing.go
+++ b/connection/pipeline/framing.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"verbenatrestle/connection/exchange"
 )
 
 // headRecorder keeps a copy of the bytes that are read while a head is parsed, since
@@ -63,24 +65,12 @@
 	return false
 }
 
-// hasInvalidName reports whether the name of a header contains a space, which http.ReadRequest
-// lets through. Recipients read such a header differently, and one about the length of the body
-// decides where the next request begins.
-func hasInvalidName(header http.Header) bool {
-	for name := range header {
-		if strings.Contains(name, " ") {
-			return true
-		}
-	}
-	return false
-}
-
 // checkHead returns the response to a request whose head must be rejected, or nil.
 func (c *serverConn) checkHead(head []byte, parsed *http.Request, limits Limits) *Response {
 	if headerSize(parsed) > limits.MaxHeaderBytes {
 		return c.server.Reject(http.StatusRequestHeaderFieldsTooLarge, "headers are too long")
 	}
-	if hasInvalidName(parsed.Header) {
+	if exchange.HasInvalidName(parsed.Header) {
 		return c.server.Reject(http.StatusBadRequest, "malformed request: invalid header line")
 	}
 	if status := framingStatus(head, parsed); status != 0 {
