Known red: a late error without an ID is taken for the next response

The review showed that a target's extra response may end the next request on the connection as not run, although the target runs it.

--- a/connection/exchange/framing_test.go
+++ b/connection/exchange/framing_test.go
@@ -53,3 +53,19 @@
 		}
 	}
 }
+
+// A late extra response without an ID was taken for the response to the next request, which the
+// target had still to run: only on a new connection it can't belong to another request.
+func TestLateResponseWithoutIDIsNotThatOfTheNextRequest(t *testing.T) {
+	address := respond(t,
+		[]string{"HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nContent-Length: 2\r\n\r\nok"},
+		[]string{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n" + idHeader + ": b\r\nContent-Length: 2\r\n\r\nok"})
+	pool := newTestPool(address)
+	if response, err := get(t, pool, "a"); err != nil || response.Status != http.StatusOK {
+		t.Fatalf("%+v, %v", response, err)
+	}
+	response, err := get(t, pool, "b")
+	if failure := AsError(err); failure == nil || failure.Kind != KindMalformed || !failure.MaybeSent {
+		t.Errorf("%+v, %v; want a malformed response, after which the request may have run", response, err)
+	}
+}
