Tests of the check of instances allow a machine that stops them

The check of a new connection waits 100 ms for the load report, and a target whose report is later is served unchecked. A machine that stops a test for that long would make the tests of the check fail.

--- a/node/build.go
+++ b/node/build.go
@@ -124,11 +124,12 @@
 	controller.SetOutOfService(true, n.started)
 	n.measurement = newMeasurementBudget(n.settings.Budgets, n.registry, n.started)
 	n.target = &localTarget{
-		measurement: n.measurement,
-		self:        n.settings.Name,
-		proxy:       n.proxy,
-		logger:      n.logger,
-		onChange:    n.targetChanged,
+		checkTimeout: instanceCheckTimeout,
+		measurement:  n.measurement,
+		self:         n.settings.Name,
+		proxy:        n.proxy,
+		logger:       n.logger,
+		onChange:     n.targetChanged,
 	}
 	n.proxy.onConnectionBroken = n.target.checkCrash
 	return nil
--- a/node/instancecheck.go
+++ b/node/instancecheck.go
@@ -16,8 +16,8 @@
 const (
 	// maxCheckBytes bounds the answers, with their heads, that checkInstance reads.
 	maxCheckBytes = 16 << 10
-	// checkTimeout bounds the wait for the load report of a target, which may lag.
-	checkTimeout = 100 * time.Millisecond
+	// instanceCheckTimeout bounds the wait for the load report of a target, which may lag.
+	instanceCheckTimeout = 100 * time.Millisecond
 )
 
 // errOtherInstance means that another process listens at the address of the
@@ -33,7 +33,7 @@
 	if err != nil || c.instance == "" || c.uncheckable.Load() {
 		return conn, err
 	}
-	reusable, err := c.checkInstance(conn, time.Now().Add(checkTimeout))
+	reusable, err := c.checkInstance(conn, time.Now().Add(c.checkTimeout))
 	if err == nil && reusable {
 		return conn, nil
 	}
--- a/node/localtarget.go
+++ b/node/localtarget.go
@@ -49,6 +49,9 @@
 	// it or the state has changed.
 	onChange func(announcement, load.State)
 
+	// checkTimeout bounds the check of the instance on a new connection.
+	checkTimeout time.Duration
+
 	// announcing is held while an announcement replaces the one before, so that the
 	// connections are those of the announcement that is kept.
 	announcing sync.Mutex
@@ -129,7 +132,7 @@
 // connect replaces the connections by those to a new instance of the target.
 func (t *localTarget) connect(a announcement, connections int) {
 	client := newTargetClient(a.service(), a.Address, connections, t.proxy.admission.SetOpenConnections)
-	client.instance = a.Instance
+	client.instance, client.checkTimeout = a.Instance, t.checkTimeout
 	client.onOtherInstance = func() { t.otherInstance(client) }
 	if old := t.proxy.client.Swap(client); old != nil {
 		old.close()
--- a/node/targetclient.go
+++ b/node/targetclient.go
@@ -32,6 +32,8 @@
 	// instance is the announced instance, which new connections must reach. If it is
 	// empty, they are not checked.
 	instance string
+	// checkTimeout bounds the check of a new connection.
+	checkTimeout time.Duration
 	// uncheckable is set once the target has named no instance or ended a connection
 	// after its answer. Further connections are not checked then.
 	uncheckable atomic.Bool
