--- a/internal/soak/requests.go
+++ b/internal/soak/requests.go
@@ -50,8 +50,8 @@
 		length = rand.IntN(longBody) + 1
 	}
 	m.body = uniqueBody(id, length)
-	if rand.IntN(100) < percentBait {
-		m.body = baitBody(id, service, length)
+	if rand.IntN(100) < percentHidden {
+		m.body = hiddenBody(id, service, length)
 	}
 	return m
 }
--- a/internal/soak/smuggling.go
+++ b/internal/soak/smuggling.go
@@ -17,65 +17,65 @@
 )
 
 const (
-	// percentBait is the share of bodies, in percent, that consist of whole requests.
-	percentBait = 10
+	// percentHidden is the share of bodies, in percent, that consist of whole requests.
+	percentHidden = 10
 	// ambiguousInterval is the interval of requests with ambiguous framing. Their callers keep
 	// the connection open for ambiguousLinger after the response, so that the node can read on.
 	ambiguousInterval = 200 * time.Millisecond
 	ambiguousLinger   = 300 * time.Millisecond
 )
 
-// baitRequest returns the text of a request that no caller sends. All nodes would serve it.
-func baitRequest(id, service string, position int) string {
-	return fmt.Sprintf("GET /%s/bait HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: bait-%s-%d\r\n\r\n",
+// hiddenRequest returns the text of a request that no caller sends. All nodes would serve it.
+func hiddenRequest(id, service string, position int) string {
+	return fmt.Sprintf("GET /%s/hidden HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: hidden-%s-%d\r\n\r\n",
 		service, platform.HeaderKey, lastingIdentity(hotOrganisation).key, platform.HeaderRequestID, id, position)
 }
 
-// baitBody returns a body of whole requests that no caller sends, of at least one and otherwise
+// hiddenBody returns a body of whole requests that no caller sends, of at least one and otherwise
 // about length bytes.
-func baitBody(id, service string, length int) string {
+func hiddenBody(id, service string, length int) string {
 	var b strings.Builder
 	for first := true; first || b.Len() < length; first = false {
-		b.WriteString(baitRequest(id, service, b.Len()))
+		b.WriteString(hiddenRequest(id, service, b.Len()))
 	}
 	return b.String()
 }
 
 // framing is an ambiguous framing of a request. In the headers, LENGTH stands for the length of
-// the body, which holds a request in place of BAIT.
+// the body, which holds a request in place of HIDDEN.
 type framing struct{ version, headers, body string }
 
 // framings are those that have misled other proxies, or the servers behind them.
 var framings = []framing{
-	{"1.1", "Content-Length: LENGTH\r\nTransfer-Encoding: chunked", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "X-A: b\nTransfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "X-A: b\r\n Transfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding:\r\n chunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding : chunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: \vchunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: xchunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: identity\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: chunked, identity\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.0", "Transfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.0", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nBAIT"},
-	{"1.1", "Content-Length: 0\r\nContent-Length: LENGTH", "BAIT"},
-	{"1.1", "Content-Length: LENGTH\r\nContent-Length: 0", "BAIT"},
-	{"1.1", "Content-Length: 0, LENGTH", "BAIT"},
-	{"1.1", "Content-Length: +LENGTH", "BAIT"},
-	{"1.1", "Content-Length: -0\r\nX-Length: LENGTH", "BAIT"},
-	{"1.1", "Content-Length : LENGTH", "BAIT"},
-	{"1.1", "Connection: Content-Length\r\nContent-Length: LENGTH", "BAIT"},
-	{"1.1", "Expect: 100-continue\r\nContent-Length: LENGTH", "BAIT"},
-	{"1.1", "Transfer-Encoding: chunked", "10000000000000000\r\n\r\n0\r\n\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: chunked", "-1\r\nBAIT"},
-	{"1.1", "Transfer-Encoding: chunked", "1\r\nxBAIT\r\n0\r\n\r\n"},
+	{"1.1", "Content-Length: LENGTH\r\nTransfer-Encoding: chunked", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "X-A: b\nTransfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "X-A: b\r\n Transfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding:\r\n chunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding : chunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: \vchunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: xchunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: identity\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: chunked, identity\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.0", "Transfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.0", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: LENGTH", "0\r\n\r\nHIDDEN"},
+	{"1.1", "Content-Length: 0\r\nContent-Length: LENGTH", "HIDDEN"},
+	{"1.1", "Content-Length: LENGTH\r\nContent-Length: 0", "HIDDEN"},
+	{"1.1", "Content-Length: 0, LENGTH", "HIDDEN"},
+	{"1.1", "Content-Length: +LENGTH", "HIDDEN"},
+	{"1.1", "Content-Length: -0\r\nX-Length: LENGTH", "HIDDEN"},
+	{"1.1", "Content-Length : LENGTH", "HIDDEN"},
+	{"1.1", "Connection: Content-Length\r\nContent-Length: LENGTH", "HIDDEN"},
+	{"1.1", "Expect: 100-continue\r\nContent-Length: LENGTH", "HIDDEN"},
+	{"1.1", "Transfer-Encoding: chunked", "10000000000000000\r\n\r\n0\r\n\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: chunked", "-1\r\nHIDDEN"},
+	{"1.1", "Transfer-Encoding: chunked", "1\r\nxHIDDEN\r\n0\r\n\r\n"},
 }
 
 // text returns the whole request, with a body for a service.
 func (f *framing) text(path, service string, record *CallerRecord, key string) string {
-	body := strings.ReplaceAll(f.body, "BAIT", baitRequest(record.ID, service, 0))
+	body := strings.ReplaceAll(f.body, "HIDDEN", hiddenRequest(record.ID, service, 0))
 	headers := strings.ReplaceAll(f.headers, "LENGTH", fmt.Sprint(len(body)))
 	return fmt.Sprintf("PUT %s HTTP/%s\r\nHost: h\r\n%s: %s\r\n%s: %s\r\n%s\r\n\r\n%s",
 		path, f.version, platform.HeaderKey, key, platform.HeaderRequestID, record.ID, headers, body)
