A node span while it collected a result at the deadline

Cause: since collect asks again at once after a dial that timed out. At the deadline the dialer reports a timeout without a connect, while the timer of the context may not have run, and the loop never blocks. Each round wrote a log line.

Change: the deadline is compared with the clock, and attempts have a wait with jitter between them that the context ends. TestResultIsCollectedAfterADialThatTimedOut passes as before.

--- a/gateway/hopcollect.go
+++ b/gateway/hopcollect.go
@@ -13,6 +13,7 @@
 
 	"verbenatrestle/connection/exchange"
 	"verbenatrestle/connection/pipeline"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/platform"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/hops"
@@ -27,6 +28,9 @@
 	// collectAfter is how long a request may stay without a response before the other
 	// node is asked for it over another connection.
 	collectAfter = time.Second
+	// collectRetryInterval is the mean time between a dial that timed out and the next
+	// attempt to collect a result. A dial can time out at once, as at the deadline.
+	collectRetryInterval = 50 * time.Millisecond
 	// reasonFenced is the reason of an attempt whose request has not arrived at the other
 	// node and never will be admitted there.
 	reasonFenced = "hop-fenced"
@@ -117,10 +121,22 @@
 			return nil // the response has come meanwhile, or the caller has left
 		}
 		p.client.node.events.collected(p, result, err)
-		if result != nil || p.ended.Load() || p.ctx.Err() != nil || !isDialTimeout(err) {
+		if result != nil || !p.mayAskAgain(err) {
 			return result
 		}
+		if !wait.For(p.ctx, collectRetryInterval/2+rand.N(collectRetryInterval)) || p.ended.Load() {
+			return nil
+		}
+	}
+}
+
+// mayAskAgain reports whether collect may ask again after an attempt that failed. It compares
+// the deadline with the clock, since the timer of the context may run late.
+func (p *pendingHop) mayAskAgain(err error) bool {
+	if deadline, ok := p.ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return false
 	}
+	return !p.ended.Load() && p.ctx.Err() == nil && isDialTimeout(err)
 }
 
 // isDialTimeout reports whether a connection took too long to open.
--- a/gateway/hopcollectdial_test.go
+++ b/gateway/hopcollectdial_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -9,9 +11,13 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
+	"verbenatrestle/connection/exchange"
 	"verbenatrestle/internal/soak"
+	"verbenatrestle/process/fleet"
+	"verbenatrestle/request"
 )
 
 // heldListener is a listener that can be made to open no more connections: dials to it time
@@ -106,3 +112,60 @@
 	}
 	f.checkRuns()
 }
+
+// newInstantTimeoutHop returns a request whose result can't be collected: each dial to its
+// node times out at once.
+func newInstantTimeoutHop(t *testing.T, ctx context.Context) *pendingHop {
+	t.Helper()
+	f := newTestFleet(t)
+	n, err := New(f.newSettings("sender", "s"), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.closeListeners)
+	const address = "127.0.0.1:9"
+	n.hopClient.pools[address] = &hopPool{Pool: exchange.NewPool(address, exchange.Options{DialTimeout: time.Nanosecond})}
+	return &pendingHop{
+		client: n.hopClient, to: &fleet.Candidate{Node: "other", HopAddress: address}, id: "r", sentAt: time.Now(), ctx: ctx, cancelSend: func() {},
+	}
+}
+
+// rounds returns how often a node has tried in vain to collect a result. Each is a log line.
+func (p *pendingHop) rounds() int64 {
+	return metrics.GetOrRegisterCounter("hops.collected-"+string(request.Unknown), p.client.node.registry).Count()
+}
+
+// A dial that timed out at once was repeated at once until the deadline, with a log line each
+// time; where the clock stands still while a process computes, the node span for good.
+func TestCollectWaitsAfterADialThatTimedOutAtOnce(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	p := newInstantTimeoutHop(t, ctx)
+	if r := p.collect(); r != nil {
+		t.Errorf("collected %+v", r)
+	}
+	if got, most := p.rounds(), int64(timeout/(collectRetryInterval/2))+1; got < 2 || got > most {
+		t.Errorf("%d attempts within %v, want 2 to %d", got, timeout, most)
+	}
+}
+
+// lateContext is a context whose deadline has passed and whose timer has not run yet.
+type lateContext struct{ context.Context }
+
+// Deadline implements context.Context.
+func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// A node span at the deadline of a request: each dial timed out without a connect, and the
+// timer of the context did not run meanwhile.
+func TestCollectEndsAtTheDeadlineAlthoughTheTimerIsLate(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	p := newInstantTimeoutHop(t, lateContext{ctx})
+	if r := p.collect(); r != nil {
+		t.Errorf("collected %+v", r)
+	}
+	if got := p.rounds(); got != 1 {
+		t.Errorf("%d attempts after the deadline, want 1", got)
+	}
+}
