A node span while reads of its datagram socket failed

Found by reading every loop that repeats after an error in gateway/, node/, process/, connection/, platform/ and internal/; the others block, wait or are bounded.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"verbenatrestle/connection/wire"
+	"verbenatrestle/internal/wait"
 	"verbenatrestle/process/fleet"
 	"verbenatrestle/process/journal"
 	store "verbenatrestle/process/platform"
@@ -45,6 +46,9 @@
 	minBroadcastInterval = 4 * time.Millisecond
 	// maxDatagramBytes bounds a received datagram, in bytes.
 	maxDatagramBytes = 1400
+	// receiveRetryDelay is the wait after a read of the socket that failed. Such errors may
+	// last, and each read fails at once then.
+	receiveRetryDelay = 10 * time.Millisecond
 )
 
 // statusExchange exchanges status messages with the other nodes over UDP.
@@ -255,7 +259,8 @@
 			return
 		}
 		if err != nil {
-			continue // handled like a lost datagram
+			wait.For(ctx, receiveRetryDelay) // handled like a lost datagram
+			continue
 		}
 		message, err := p.codec.Decode(buffer[:n])
 		if err != nil {
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"context"
 	"io"
+	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,3 +63,29 @@
 		t.Errorf("%d of %d statuses hold an older state than the status before", older, len(statuses))
 	}
 }
+
+// brokenConn is a UDP socket whose reads fail at once.
+type brokenConn struct {
+	datagramConn
+	reads atomic.Int64
+}
+
+// ReadFromUDPAddrPort implements datagramConn.
+func (c *brokenConn) ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) {
+	c.reads.Add(1)
+	return 0, netip.AddrPort{}, syscall.ENETDOWN
+}
+
+// The reads of a socket failed at once and were repeated without a wait, which took the whole
+// processor share of the node.
+func TestReceiveWaitsAfterAReadThatFailed(t *testing.T) {
+	const duration = 300 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), duration)
+	defer cancel()
+	conn := &brokenConn{}
+	exchange := &statusExchange{conn: conn}
+	exchange.receive(ctx)
+	if got, most := conn.reads.Load(), int64(duration/receiveRetryDelay)+1; got < 2 || got > most {
+		t.Errorf("%d reads within %v, want 2 to %d", got, duration, most)
+	}
+}
