CONFIG: a node fetched from one silent peer only while the store was silent

Cause: the pull asked one peer or the store at a time. A peer that failed was avoided for 0.4 s, the read of the store that followed took 1.5 s without a response, and then the peer in the same data centre came first again.

TestConfigHolderThatFailedGoesBehindOthers holds the order.

Change: a peer that failed to send its configuration goes behind all others for 5 s, and reads of the store run beside the fetches.

--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -73,6 +74,8 @@
 	// nextStoreRead is the earliest time of the next read of the store. Only the pull
 	// uses it.
 	nextStoreRead time.Time
+	// readingStore is set while a read of the store runs.
+	readingStore atomic.Bool
 }
 
 // start begins a pull, or another one after the pull that runs. It does not block.
@@ -103,20 +106,29 @@
 }
 
 // pullConfig fetches configurations until this node has the newest one that it knows
-// of.
+// of. Reads of the store run beside the fetches from peers, since each may take seconds
+// without a result.
 func (n *Node) pullConfig(ctx context.Context) {
+	puller := &n.peers.configPuller
 	for ctx.Err() == nil && n.configLag.outdated(n.config.snapshot().number(), time.Now()) {
-		if !n.fetchConfig(ctx) && !n.readConfigFromStore(ctx) {
-			wait.For(ctx, pullRetryInterval/2+rand.N(pullRetryInterval))
+		if n.fetchConfig(ctx) {
+			continue
+		}
+		if !puller.readingStore.Load() && n.storeReadDue(time.Now()) {
+			puller.readingStore.Store(true)
+			go func() {
+				defer puller.readingStore.Store(false)
+				n.readConfigFromStore(ctx)
+			}()
 		}
+		wait.For(ctx, pullRetryInterval/2+rand.N(pullRetryInterval))
 	}
 }
 
-// readConfigFromStore reads the configuration from the store if the peers have failed to
-// send a newer one for too long, also if the latest call to the store failed: that may have
-// been long ago. It reports whether it did.
-func (n *Node) readConfigFromStore(ctx context.Context) bool {
-	now := time.Now()
+// storeReadDue reports whether this node has to read the configuration from the store,
+// because the peers have failed to send a newer one for too long, also if the latest call to
+// the store failed: that may have been long ago.
+func (n *Node) storeReadDue(now time.Time) bool {
 	puller := &n.peers.configPuller
 	outdatedFor, failures := n.configLag.elapsed(now)
 	due := outdatedFor >= storeReadAfter || failures > 0 && outdatedFor >= storeReadAfterFailure
@@ -128,13 +140,17 @@
 		return false
 	}
 	puller.nextStoreRead = now.Add(storeReadInterval/2 + rand.N(storeReadInterval))
+	return true
+}
+
+// readConfigFromStore reads the configuration from the store, and reports whether it did.
+func (n *Node) readConfigFromStore(ctx context.Context) bool {
 	err := n.store.readConfig(ctx)
 	n.store.recordCallResult(err)
 	if err != nil {
 		n.events.log(journal.Change, "config_read_failed", "dependency", "store", "err", err)
-		return false
 	}
-	return true
+	return err == nil
 }
 
 // fetchConfig asks one of the peers that have the newest configuration for it. It returns
@@ -192,5 +208,5 @@
 	}
 	n.configLag.fetchFailed()
 	n.events.configFetchFailed(holder.Node, holder.Number, now.Sub(started), err)
-	n.fleet.AvoidConfigHolder(holder.Node, now.Add(avoidFor))
+	n.fleet.ConfigHolderFailed(holder.Node, now.Add(avoidFor), now)
 }
--- a/process/fleet/configholder.go
+++ b/process/fleet/configholder.go
@@ -14,12 +14,17 @@
 	Number uint64
 }
 
+// configFailureMemory is how long a peer that failed to send its configuration is only asked
+// if no other one can be.
+const configFailureMemory = 5 * time.Second
+
 // MaxConfigTransfers is how many configurations a node sends at once.
 const MaxConfigTransfers = 2
 
 // ConfigHolder returns one of the peers whose configuration has a higher number than the
 // given one. Peers with the highest number go first, and among them those in the given data
-// centre. Pick, a random number in [0, 1), chooses among them.
+// centre, unless they have lately failed to send it. Pick, a random number in [0, 1), chooses
+// among them.
 //
 // All nodes learn of a new configuration at once, and a few holders can't serve them
 // all. So only a share of the nodes that want it may ask now, one for each holder on
@@ -54,13 +59,19 @@
 // configRange is a range of numbers of configurations, bounds included.
 type configRange struct{ least, most uint64 }
 
-// pickConfigHolder returns one of the peers with a configuration in the range, those in the
-// data centre first, for the share of nodes that may ask now. The result is nil for the
-// others, with a pick for another call. The caller holds the lock.
+// pickConfigHolder returns one of the peers with a configuration in the range, for the share
+// of nodes that may ask now. Those that have lately failed to send it go behind all others,
+// and then those outside the data centre. The result is nil for the other nodes, with a pick
+// for another call. The caller holds the lock.
 func (t *Table) pickConfigHolder(numbers configRange, dataCentre string, pick float64, now time.Time) (holder *Peer, remaining float64) {
-	holders, outdated := t.configHolders(numbers, dataCentre, now)
-	if len(holders) == 0 {
-		holders, outdated = t.configHolders(numbers, "", now)
+	var holders []*Peer
+	var outdated int
+	for _, failed := range []bool{false, true} {
+		for _, place := range []string{dataCentre, ""} {
+			if len(holders) == 0 {
+				holders, outdated = t.configHolders(numbers, place, failed, now)
+			}
+		}
 	}
 	share := min(1, float64(len(holders))/float64(outdated))
 	if pick < share {
@@ -70,9 +81,10 @@
 }
 
 // configHolders returns the peers of a data centre, or of all if it is empty, that have
-// a configuration in the range, ordered by node. It also counts the nodes there that want
-// it, this one included. The caller holds the lock.
-func (t *Table) configHolders(numbers configRange, dataCentre string, now time.Time) (holders []*Peer, outdated int) {
+// a configuration in the range, ordered by node: either those that have lately failed to send
+// it, or the others. It also counts the nodes there that want it, this one included. The
+// caller holds the lock.
+func (t *Table) configHolders(numbers configRange, dataCentre string, failed bool, now time.Time) (holders []*Peer, outdated int) {
 	outdated = 1
 	for _, p := range t.peers {
 		number := p.Status.ConfigNumber
@@ -80,7 +92,7 @@
 		case dataCentre != "" && p.Status.DataCentre != dataCentre || !t.receivedRecently(p, now):
 		case number < numbers.least:
 			outdated++
-		case number <= numbers.most && t.servesConfig(p, now):
+		case number <= numbers.most && t.servesConfig(p, now) && p.failedToSendConfig(now) == failed:
 			holders = append(holders, p)
 		}
 	}
@@ -107,8 +119,24 @@
 	return max(1, t.nodeCount(now)*outdated/received)
 }
 
+// ConfigHolderFailed records that a peer was asked for its configuration and did not send it,
+// although it was not busy. ConfigHolder passes over it until the given time, and prefers other
+// peers for a longer one: the path to it may be cut.
+func (t *Table) ConfigHolderFailed(node string, until, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[node]; p != nil {
+		p.avoidConfigUntil, p.configFailedAt = until, now
+	}
+}
+
+// failedToSendConfig reports whether a peer has lately failed to send its configuration.
+func (p *Peer) failedToSendConfig(now time.Time) bool {
+	return !p.configFailedAt.IsZero() && now.Sub(p.configFailedAt) < configFailureMemory
+}
+
 // AvoidConfigHolder makes ConfigHolder pass over a peer until the given time, because
-// it did not send its configuration.
+// it was busy.
 func (t *Table) AvoidConfigHolder(node string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/process/fleet/configholder_test.go
+++ b/process/fleet/configholder_test.go
@@ -144,3 +144,32 @@
 		}
 	}
 }
+
+// The peer in the same data centre failed to send its configuration and was asked again as soon as the
+// time was over for which it is avoided, although peers elsewhere have the configuration too.
+func TestConfigHolderThatFailedGoesBehindOthers(t *testing.T) {
+	table := newTestTable()
+	for i, node := range []string{"near", "far"} {
+		s := status(node, uint64(i+1), 1)
+		s.DataCentre, s.ConfigNumber = node, 4
+		table.Merge(s, node, start)
+	}
+	holder := func(at time.Time) string {
+		h, _ := table.ConfigHolder(3, "near", 0, at)
+		return h.Node
+	}
+	if got := holder(start); got != "near" {
+		t.Fatalf("asks %q before any failure, want near", got)
+	}
+	until := start.Add(100 * time.Millisecond)
+	table.ConfigHolderFailed("near", until, start)
+	for _, at := range []time.Time{start, until, start.Add(400 * time.Millisecond)} {
+		if got := holder(at); got != "far" {
+			t.Errorf("asks %q %v after the failure, want far", got, at.Sub(start))
+		}
+	}
+	table.ConfigHolderFailed("far", until, start)
+	if got := holder(until); got != "near" {
+		t.Errorf("asks %q if both failed, want near", got)
+	}
+}
--- a/process/fleet/table.go
+++ b/process/fleet/table.go
@@ -42,6 +42,8 @@
 	// avoidConfigUntil is the end of the time during which the node is not asked for
 	// its configuration.
 	avoidConfigUntil time.Time
+	// configFailedAt is when the node last failed to send its configuration.
+	configFailedAt time.Time
 	// formerIncarnations holds incarnations that ended, the latest last.
 	formerIncarnations []uint64
 	// afterWholeSlack is set if the latest of them had Status.WholeSlack.
