QUOTA: a coordinator without a configuration granted all that was asked for

Cause: since a coordinator whose configuration does not know a quota admits, so that an older configuration refuses nobody. A node without any configuration took the same way.

TestNodeWithoutConfigurationIsNoCoordinator holds the choice.

Change: a node whose status names no configuration is no coordinator for the nodes that exchange heartbeats with it; it passes messages of others on to the next node, and answers none itself. Test statuses now name a configuration, as those of nodes that serve do.

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -207,8 +207,11 @@
 	if now.Before(cached.until) {
 		return cached
 	}
-	excluded := func(node string) bool { return q.exclusions.Excluded(node, now) }
-	found := q.node.fleet.Coordinator(organisation, q.node.settings().Name, excluded, now)
+	self, configured := q.node.settings().Name, q.node.config.snapshot().routes != nil
+	excluded := func(node string) bool {
+		return node == self && !configured || q.exclusions.Excluded(node, now)
+	}
+	found := q.node.fleet.Coordinator(organisation, self, excluded, now)
 	next := cachedCoordinator{Coordinator: found, until: now.Add(coordinatorCacheTime)}
 	if found.Relay == cached.Relay {
 		next.agreedUntil = cached.agreedUntil
@@ -291,8 +294,11 @@
 		q.node.peers.write(c.Relay.DatagramAddress, ask)
 		return false
 	}
-	q.ingress.HandleGrant(q.handle(ask, "", now), now)
-	return true
+	grant, ok := q.handle(ask, "", now)
+	if ok {
+		q.ingress.HandleGrant(grant, now)
+	}
+	return ok
 }
 
 // passOn passes the message of another node on if this one is not the coordinator, and reports
@@ -323,11 +329,16 @@
 }
 
 // handle answers a message as the coordinator, and sends the notices that result from it. from
-// is empty for this node. The caller holds the lock.
-func (q *quotaKeeper) handle(ask *quota.Ask, from string, now time.Time) quota.Grant {
-	limit, limited := limitOf(q.node.config.snapshot(), ask.Organisation)
+// is empty for this node. A node without a configuration knows no quota and does not answer, for
+// which it returns false. The caller holds the lock.
+func (q *quotaKeeper) handle(ask *quota.Ask, from string, now time.Time) (quota.Grant, bool) {
+	config := q.node.config.snapshot()
+	if config.routes == nil {
+		return quota.Grant{}, false
+	}
+	limit, limited := limitOf(config, ask.Organisation)
 	if !limited { // in this configuration, which may be older than that of the other node
-		return quota.Grant{Incarnation: ask.Incarnation, Sequence: ask.Sequence, Organisation: ask.Organisation, Tokens: ask.Wanted}
+		return quota.Grant{Incarnation: ask.Incarnation, Sequence: ask.Sequence, Organisation: ask.Organisation, Tokens: ask.Wanted}, true
 	}
 	c := q.coordinatorOf(ask.Organisation, now)
 	if quota.RouteOf(ask, c.role(now)) != quota.Answer {
@@ -341,7 +352,7 @@
 		}
 		q.node.peers.write(notices[i].Address, &notices[i].Grant)
 	}
-	return grant
+	return grant, true
 }
 
 // receiveAsk answers a message of another node.
@@ -352,9 +363,11 @@
 		q.mu.Unlock()
 		return
 	}
-	grant := q.handle(ask, from, now)
+	grant, ok := q.handle(ask, from, now)
 	q.mu.Unlock()
-	q.node.peers.write(from, &grant)
+	if ok {
+		q.node.peers.write(from, &grant)
+	}
 }
 
 // receiveGrant applies the answer of a coordinator. One for another node, whose message this one
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -277,8 +278,41 @@
 		t.Fatal("decided without the coordinator")
 	}
 	asks, _, _ := ingress.Due(3, now)
-	ingress.HandleGrant(keeper.handle(&asks[0], "127.0.0.1:1", now), now)
+	grant, ok := keeper.handle(&asks[0], "127.0.0.1:1", now)
+	if !ok {
+		t.Fatal("no answer")
+	}
+	ingress.HandleGrant(grant, now)
 	if r := <-answer; r.Decision != quota.Admitted {
 		t.Errorf("%+v", r)
 	}
 }
+
+// The coordinator of an organisation was restarted while it could get no configuration, and granted all
+// that was asked for, so that the organisation had no quota.
+func TestQuotaHoldsWhileItsCoordinatorHasNoConfiguration(t *testing.T) {
+	f, recorder := quotaFleet(t, nil)
+	name := f.coordinator("acme", func(string) bool { return false })
+	flood := newQuotaLoad(f, "key-acme-1", "/s/x")
+	const length = 4500 * time.Millisecond
+	var coordinator *testNode
+	for _, n := range f.nodes {
+		if n.settings.Name == name {
+			coordinator = n
+			continue
+		}
+		flood.start(n, 20*time.Millisecond, length)
+	}
+	time.Sleep(time.Second)
+	f.prepare = func(n *Node) { n.peers.configPuller.pull = func(context.Context) {} }
+	coordinator.settings.Store = freeAddress(t) // nothing listens there
+	f.restart(coordinator)
+	flood.finish()
+	if number := coordinator.config.snapshot().number(); number != 0 {
+		t.Fatalf("the coordinator has configuration %d", number)
+	}
+	allowed := 40*length.Seconds() + 20
+	if got := float64(recorder.arrivals("acme")); got > allowed*(1+quotaOverage)+quotaSlack || got < allowed/2 {
+		t.Errorf("%v requests reached targets within %v, the quota is %v", got, length, allowed)
+	}
+}
--- a/gateway/quotalinks_test.go
+++ b/gateway/quotalinks_test.go
@@ -55,7 +55,7 @@
 func precedes(node, other string) bool {
 	now := time.Now()
 	table := fleet.NewTable(fleet.Settings{UnreachableAfter: time.Second, ForgetAfter: time.Hour})
-	table.Merge(fleet.Status{Node: other, Incarnation: 1, Sequence: 1, CountsQuotas: true}, other, now)
+	table.Merge(fleet.Status{Node: other, Incarnation: 1, Sequence: 1, CountsQuotas: true, ConfigNumber: 1}, other, now)
 	return table.Coordinator("acme", node, func(string) bool { return false }, now).Node == ""
 }
 
--- a/process/fleet/coordinator.go
+++ b/process/fleet/coordinator.go
@@ -34,13 +34,17 @@
 // Coordinator returns the coordinator of a name: of the nodes that count, the one with the
 // highest hash of its own name and that one. So nodes that reach the same others agree on it,
 // and the loss of a node moves only what it coordinated. Self is the name of this node.
-// Nodes that shut down are left out, and those that excluded reports. Nodes that were only
-// discovered so far are asked, or nodes of a large fleet would disagree for minutes.
+// Nodes that shut down or have no configuration, and so know no quota, are left out, and those
+// that excluded reports, which may be this node too. Nodes that were only discovered so far are
+// asked, or nodes of a large fleet would disagree for minutes.
 func (t *Table) Coordinator(name, self string, excluded func(node string) bool, now time.Time) Coordinator {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	chosen := Coordinator{Reached: 1, Known: 1}
 	own := coordinatorRank(name, self)
+	if excluded(self) {
+		own = 0
+	}
 	var highest, second, missing uint64
 	var relay Relay
 	for _, p := range t.peers {
@@ -52,7 +56,7 @@
 		if reached {
 			chosen.Reached++
 		}
-		if p.Status.Incarnation != 0 && !p.Status.CountsQuotas {
+		if !p.canCoordinate() {
 			continue
 		}
 		switch rank := coordinatorRank(name, p.Status.Node); {
@@ -72,6 +76,16 @@
 	return chosen
 }
 
+// canCoordinate reports whether a peer can count requests: it may not be of an earlier build, or
+// have no configuration. The status of a status-only peer may be minutes old, so that peer is
+// asked and passes messages on if it has none.
+func (p *Peer) canCoordinate() bool {
+	if p.Status.Incarnation == 0 {
+		return true
+	}
+	return p.Status.CountsQuotas && (p.Status.ConfigNumber > 0 || p.StatusOnly)
+}
+
 // NodeAt returns the name of the node that takes datagrams at an address, or an empty one.
 func (t *Table) NodeAt(datagramAddress string) string {
 	t.mu.Lock()
--- a/process/fleet/coordinator_test.go
+++ b/process/fleet/coordinator_test.go
@@ -16,7 +16,7 @@
 	table := NewTable(Settings{UnreachableAfter: time.Second, ForgetAfter: time.Hour, AvoidFor: time.Second})
 	for i, node := range nodes {
 		if node != self {
-			table.Merge(Status{Node: node, Incarnation: uint64(i + 1), Sequence: 1, CountsQuotas: true}, node+":1", now)
+			table.Merge(Status{Node: node, Incarnation: uint64(i + 1), Sequence: 1, CountsQuotas: true, ConfigNumber: 1}, node+":1", now)
 		}
 	}
 	return table
@@ -93,7 +93,7 @@
 				table.AddDiscovered(Discovered{Node: node, DataCentre: "z", DatagramAddress: node + ":1"}, now)
 			}
 			if j%7 == i%7 && node != self { // some statuses have arrived
-				table.Merge(Status{Node: node, Incarnation: uint64(j + 1), Sequence: 1, DataCentre: "z", CountsQuotas: true}, node+":1", now)
+				table.Merge(Status{Node: node, Incarnation: uint64(j + 1), Sequence: 1, DataCentre: "z", CountsQuotas: true, ConfigNumber: 1}, node+":1", now)
 			}
 		}
 		table.SelectHeartbeatPeers(Self{Node: self, DataCentre: "z"}, now)
@@ -137,3 +137,27 @@
 		t.Errorf("%+v for a node that stops as planned", c)
 	}
 }
+
+// A coordinator that was restarted and had no configuration yet knew no quota, and granted all that
+// was asked for. The next node has to take its place, also in its own view.
+func TestNodeWithoutConfigurationIsNoCoordinator(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	nodes := []string{"n1", "n2", "n3", "n4"}
+	slices.SortFunc(nodes, func(a, b string) int { return cmp.Compare(coordinatorRank("acme", b), coordinatorRank("acme", a)) })
+	first, second, last := nodes[0], nodes[1], nodes[3]
+	for _, self := range []string{second, last} {
+		table := coordinatorTable(self, nodes, now)
+		table.Merge(Status{Node: first, Incarnation: 99, Sequence: 1, CountsQuotas: true}, first+":1", now)
+		c := table.Coordinator("acme", self, never, now)
+		if c.Node == "" {
+			c.Node = self
+		}
+		if c.Node != second || c.Relay != (Relay{}) {
+			t.Errorf("%s: %+v, want %s", self, c, second)
+		}
+	}
+	itself := func(node string) bool { return node == first }
+	if c := coordinatorTable(first, nodes, now).Coordinator("acme", first, itself, now); c.Node != second {
+		t.Errorf("the node without a configuration: %+v, want %s", c, second)
+	}
+}
