CONFIG: an outdated node went on by its old routes without an end

What callers saw: requests were handled as only an older version allows for as long as a node knew of a newer one and could not get it, in both stacks.

Cause: a node that knew of a newer configuration only held back final denials (404, 401, 413); what its own table matched it ran. It also counted from its latest change on, so a node that got versions one by one, each late, never counted as far behind.

Change: since when each missing version is known is kept (configstore.MissingVersions, bounded). Once a version has been known for the time in which it must be in force, less 0.5 s in which nodes learn of it, a node rejects requests at once with 503 and Retry-After, as long as a peer that has it is in reach: the change may concern any request, and callers do better elsewhere. Without such a peer, or if it can't decode the version, it goes on by its active one. The setting is limits.config_apply_s, 4 s by default; log line config_overdue, counter vt_config_overdue.

TestReadsOfTheStoreAreBounded calls the two halves of readConfigFromStore, which had split; it failed there.

--- a/gateway/configlag.go
+++ b/gateway/configlag.go
@@ -3,12 +3,18 @@
 import (
 	"sync"
 	"time"
+
+	"verbenatrestle/process/configstore"
 )
 
 // outdatedMemory is how long a node counts as outdated after it last received the number of a newer
 // configuration than its own, in case nobody serves that one any more.
 const outdatedMemory = 30 * time.Second
 
+// configNoticeTime is the part of Limits.ConfigApplySeconds in which a node learns that a
+// configuration was accepted.
+const configNoticeTime = 500 * time.Millisecond
+
 // configLag records since when a node knows of a configuration that is newer than its
 // active one. It is safe for concurrent use.
 type configLag struct {
@@ -17,9 +23,10 @@
 	newest uint64
 	// receivedAt is when the node last received the newest number.
 	receivedAt time.Time
-	// since is when the node first received a number above the active one, or zero if
-	// the active configuration is the newest known one.
-	since time.Time
+	// missing holds the numbers above the active one.
+	missing configstore.MissingVersions
+	// undecodable is the highest number of a configuration that this node can't decode.
+	undecodable uint64
 	// failures counts the failed fetches since then.
 	failures int
 }
@@ -32,9 +39,7 @@
 	if number >= l.newest {
 		l.newest, l.receivedAt = number, now
 	}
-	if l.newest > active && l.since.IsZero() {
-		l.since = now
-	}
+	l.missing.Received(number, active, now)
 }
 
 // outdated reports whether the node knows of a newer configuration than the active one.
@@ -42,18 +47,40 @@
 func (l *configLag) outdated(active uint64, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.isOutdated(active, now)
+}
+
+// isOutdated is like outdated. The caller holds the lock.
+func (l *configLag) isOutdated(active uint64, now time.Time) bool {
 	return l.newest > active && now.Sub(l.receivedAt) < outdatedMemory
 }
 
+// overdue reports whether the node has known of a newer configuration for a time in which it
+// should have become active. One that this node can't decode is never active here.
+func (l *configLag) overdue(active uint64, within time.Duration, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := l.missing.Since()
+	return l.isOutdated(active, now) && l.newest > l.undecodable && !since.IsZero() && now.Sub(since) >= within
+}
+
+// recordUndecodable records the number of a configuration that this node can't decode.
+func (l *configLag) recordUndecodable(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.undecodable = max(l.undecodable, number)
+}
+
 // elapsed returns for how long the node has known of a newer configuration than the
 // active one, and how many fetches failed meanwhile.
 func (l *configLag) elapsed(now time.Time) (outdatedFor time.Duration, failures int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.since.IsZero() {
+	since := l.missing.Since()
+	if since.IsZero() {
 		return 0, 0
 	}
-	return now.Sub(l.since), l.failures
+	return now.Sub(since), l.failures
 }
 
 // fetchFailed counts a failed fetch.
@@ -70,14 +97,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.newest = max(l.newest, number)
-	if !l.since.IsZero() {
-		outdatedFor = now.Sub(l.since)
+	if since := l.missing.Since(); !since.IsZero() {
+		outdatedFor = now.Sub(since)
 	}
 	failures = l.failures
-	l.since, l.failures = time.Time{}, 0
-	if l.newest > number {
-		l.since = now
-	}
+	l.failures = 0
+	l.missing.Activated(number)
 	return outdatedFor, failures
 }
 
--- a/gateway/configpull.go
+++ b/gateway/configpull.go
@@ -172,6 +172,9 @@
 	n.metrics.configFetches.Inc(1)
 	if err := n.config.updateDocument(document, holder.Node); err != nil {
 		puller.recordUndecodable(holder, time.Now())
+		if puller.isUndecodable(holder.Number, time.Now()) {
+			n.configLag.recordUndecodable(holder.Number)
+		}
 		n.configFetchFailed(holder, started, err)
 		n.fleet.AvoidConfigHolder(holder.Node, time.Now().Add(undecodableRetryInterval))
 		return false
--- a/gateway/configpull_test.go
+++ b/gateway/configpull_test.go
@@ -354,14 +354,15 @@
 		n.store.reachable.Store(true)
 		return n
 	}
-	if n := newNode(0); !n.readConfigFromStore(t.Context()) || n.config.snapshot().number() != 1 {
+	readsIfDue := func(n *Node) bool { return n.storeReadDue(time.Now()) && n.readConfigFromStore(t.Context()) }
+	if n := newNode(0); !readsIfDue(n) || n.config.snapshot().number() != 1 {
 		t.Fatal("the store is not read")
-	} else if n.readConfigFromStore(t.Context()) {
+	} else if readsIfDue(n) {
 		t.Fatal("the store is read twice at once")
 	}
 	n := newNode(0)
 	n.peers.configPuller.undecodable, n.peers.configPuller.undecodableAt = 2, time.Now()
-	if n.readConfigFromStore(t.Context()) {
+	if readsIfDue(n) {
 		t.Fatal("the store is read for a text that can't be decoded")
 	}
 	const nodes, tries = 400, 50
@@ -369,8 +370,7 @@
 	reads := 0
 	for range tries {
 		n.peers.configPuller.nextStoreRead = time.Time{}
-		n.configLag.since = time.Now().Add(-2 * storeReadAfter)
-		if n.readConfigFromStore(t.Context()) {
+		if readsIfDue(n) {
 			reads++
 		}
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -115,6 +115,13 @@
 		"config", config.number(), "config_age_ms", now.Sub(config.activeSince).Milliseconds(), "newest", newest)
 }
 
+// configOverdue logs and counts a request that is rejected because the active configuration
+// should have been replaced by a newer one. Newest is as in noRoute.
+func (e *eventLog) configOverdue(id string, config *configSnapshot, newest uint64) {
+	e.metrics.configOverdue.Inc(1)
+	e.journal.Log(journal.Failure, "config_overdue", "request", id, "config", config.number(), "newest", newest)
+}
+
 // unknownKey logs and counts a request without a valid key. Newest is as in noRoute.
 func (e *eventLog) unknownKey(id, route string, keys int, config *configSnapshot, newest uint64, now time.Time) {
 	e.metrics.unknownKey.Inc(1)
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -78,6 +78,10 @@
 			Outcome: request.NotRun, Step: "route", RetryAfter: unconfiguredRetryAfter,
 		})
 	}
+	if n.isOverdue(config, time.Now()) {
+		n.events.configOverdue(id, config, n.configLag.newestKnown())
+		return n.fail(id, outdated("route"))
+	}
 	rule := config.routes.Route(r.Host, r.Path)
 	if rule == nil {
 		return n.noRoute(id, r, config)
@@ -129,8 +133,15 @@
 	})
 }
 
-// outdated returns the failure of a request that the active configuration does not
-// allow although a newer one may.
+// isOverdue reports whether the active configuration may no longer be used: a newer one that
+// peers in reach have should have taken its place, and may treat any request in another way.
+// If no peer in reach has it, there is no node that could do better, and this one goes on.
+func (n *Node) isOverdue(config *configSnapshot, now time.Time) bool {
+	return n.configLag.overdue(config.number(), n.settings().Limits.maxOutdated(), now) && n.fleet.HasConfigAbove(config.number(), now)
+}
+
+// outdated returns the failure of a request for which a newer configuration than the active one
+// may decide otherwise.
 func outdated(step string) *request.Failure {
 	return &request.Failure{
 		Status: http.StatusServiceUnavailable, Title: "the configuration is outdated",
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,7 +53,10 @@
 	quotaPassedOn                               metrics.Counter
 	// configOutdated is the time for which the node knew of a newer configuration
 	// before it activated one.
-	configOutdated      metrics.Timer
+	configOutdated metrics.Timer
+	// configOverdue counts the requests that were rejected because the node was outdated
+	// for too long.
+	configOverdue       metrics.Counter
 	configFetches       metrics.Counter
 	configFetchesFailed metrics.Counter
 	configHolderBusy    metrics.Counter
@@ -96,6 +99,7 @@
 		quotaPassedOn:          counter("quota.passed-on"),
 
 		configOutdated:      newTimer(),
+		configOverdue:       counter("config.overdue"),
 		configFetches:       counter("config.fetches"),
 		configFetchesFailed: counter("config.fetches-failed"),
 		configHolderBusy:    counter("config.holder-busy"),
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -101,6 +101,9 @@
 	// MemoryMB is the memory of the VM that the process may use, in MB (10^6 bytes). Zero
 	// means defaultMemoryMB. A change takes effect when the process starts again.
 	MemoryMB float64 `yaml:"memory_mb"`
+	// ConfigApplySeconds is how long after its acceptance a configuration has to be in force
+	// everywhere, in seconds. Zero means defaultConfigApply.
+	ConfigApplySeconds float64 `yaml:"config_apply_s"`
 }
 
 // hopAddress returns the address to which other nodes send requests for the
@@ -125,6 +128,19 @@
 	}
 }
 
+// defaultConfigApply is the default of Limits.ConfigApplySeconds.
+const defaultConfigApply = 4 * time.Second
+
+// maxOutdated returns how long a node that knows of a newer configuration may go on by its
+// active one.
+func (l Limits) maxOutdated() time.Duration {
+	apply := time.Duration(l.ConfigApplySeconds * float64(time.Second))
+	if apply <= 0 {
+		apply = defaultConfigApply
+	}
+	return max(apply-configNoticeTime, apply/2)
+}
+
 // stopTimeout returns the longest time that a planned stop may take.
 func (l Limits) stopTimeout() time.Duration {
 	return time.Duration(l.StopSeconds * float64(time.Second))
@@ -188,6 +204,8 @@
 		return errors.New("limits.stop_s must be greater than 0")
 	case s.Limits.MemoryMB < 0:
 		return errors.New("limits.memory_mb must not be negative")
+	case s.Limits.ConfigApplySeconds < 0:
+		return errors.New("limits.config_apply_s must not be negative")
 	}
 	return nil
 }
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -30,6 +30,7 @@
 		{"cold_factor: 1.5", "cold_factor: 0", "cold_factor"},
 		{"stop_s: 6", "stop_s: 0", "stop_s"},
 		{"stop_s: 6", "stop_s: 6, memory_mb: -1", "memory_mb"},
+		{"stop_s: 6", "stop_s: 6, config_apply_s: -1", "config_apply_s"},
 		{"name: a\n", "name: a\nadvertise_hop: nowhere\n", "advertise_hop"},
 		{"name: a\n", "name: " + strings.Repeat("a", maxNameBytes+1) + "\n", "name"},
 		{"data_centres: [", "data_centres: [" + strings.Repeat("x", maxDataCentreNameBytes) + ", ", "data_centres"},
--- a/node/build.go
+++ b/node/build.go
@@ -180,6 +180,7 @@
 		limits:        n.settings.Limits,
 		snapshot:      n.config.snapshot,
 		outdated:      func() bool { return n.config.outdated(time.Now()) },
+		overdue:       func() bool { return n.config.overdue(time.Now()) },
 		localService:  n.target.service,
 		limiter:       n.limiter,
 		quarantine:    n.quarantine,
--- a/node/config.go
+++ b/node/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,9 @@
 	// announcementTTL is how long a newer version that a peer announced counts as one
 	// that this node lacks. Most take milliseconds to fetch.
 	announcementTTL = 5 * time.Second
+	// maxOutdated is how long a node may go on by its active configuration while peers
+	// announce a newer one. Changes have to be in force everywhere within four seconds.
+	maxOutdated = 3500 * time.Millisecond
 )
 
 // configuration holds the active configuration and watches the platform for newer
@@ -52,6 +56,13 @@
 	// announcedAt when, in Unix nanoseconds.
 	announced   atomic.Uint64
 	announcedAt atomic.Int64
+
+	mu sync.Mutex
+	// missing holds the announced versions above the active one.
+	missing configstore.MissingVersions
+	// undecodable is the announced version at the time at which a peer sent a document that
+	// this node can't decode.
+	undecodable atomic.Uint64
 }
 
 func newConfiguration(self string, client *platform.Client, logger log.Logger, watchWait time.Duration) *configuration {
@@ -107,6 +118,7 @@
 // the active one.
 func (c *configuration) updateFromPeer(from string, data []byte) {
 	if _, err := c.store.UpdateIfNewer(time.Now(), data); err != nil {
+		c.undecodable.Store(c.announced.Load())
 		_ = level.Warn(c.logger).Log("msg", "configuration refused", "step", "take configuration", "peer", from, "err", err)
 		return
 	}
@@ -119,8 +131,12 @@
 	switch {
 	case number > c.store.Version():
 		if number >= c.announced.Load() {
+			now := time.Now()
 			c.announced.Store(number)
-			c.announcedAt.Store(time.Now().UnixNano())
+			c.announcedAt.Store(now.UnixNano())
+			c.mu.Lock()
+			c.missing.Received(number, c.store.Version(), now)
+			c.mu.Unlock()
 		}
 	case number > 0:
 		c.peerConfirmed.Store(true)
@@ -133,6 +149,19 @@
 	return c.announced.Load() > c.store.Version() && now.UnixNano()-c.announcedAt.Load() < int64(announcementTTL)
 }
 
+// overdue reports whether peers have announced a newer version for a time in which it should
+// have become active. It may treat any request in another way than the active one.
+func (c *configuration) overdue(now time.Time) bool {
+	if !c.outdated(now) || c.undecodable.Load() == c.announced.Load() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.missing.Activated(c.store.Version())
+	since := c.missing.Since()
+	return !since.IsZero() && now.Sub(since) >= maxOutdated
+}
+
 // run watches the platform and calls onChange after changes until the context
 // ends.
 func (c *configuration) run(ctx context.Context) {
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -28,6 +28,8 @@
 	snapshot func() *version.Snapshot
 	// outdated reports whether a peer has a newer configuration than this node.
 	outdated func() bool
+	// overdue reports whether it should have got that configuration by now.
+	overdue func() bool
 	// localService returns the service of the local target, which sends its calls
 	// through this node. Requests of external callers count as its calls too.
 	localService func() version.ServiceID
@@ -114,6 +116,9 @@
 	if err != nil && g.outdated() {
 		return nil, g.refuseOutdated("route", err)
 	}
+	if g.overdue() {
+		return nil, g.refuseOutdated("route", errOverdue)
+	}
 	if err != nil {
 		return nil, g.refusal(routeStatus(w, err), "route", "no route", err)
 	}
@@ -151,8 +156,11 @@
 	return req, nil
 }
 
-// refuseOutdated returns the failure of a request that the active configuration does
-// not allow, although the newer one that a peer has may do so.
+// errOverdue means that this node has not got a configuration in time.
+var errOverdue = errors.New("peers have had a newer configuration for too long")
+
+// refuseOutdated returns the failure of a request for which the newer configuration that a
+// peer has may decide otherwise than the active one.
 func (g *ingress) refuseOutdated(step string, err error) *request.Failure {
 	f := g.refusal(http.StatusServiceUnavailable, step, "the configuration is outdated", err)
 	return withRetryAfter(f, configRetryAfter)
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -94,6 +94,7 @@
 		limits:        Limits{MaxBodyBytes: 1 << 20, MaxCallerInFlight: 100},
 		snapshot:      current,
 		outdated:      func() bool { return false },
+		overdue:       func() bool { return false },
 		localService:  func() version.ServiceID { return "org/team" },
 		limiter:       request.NewLimiter(),
 		quarantine:    quarantine.New(quarantine.DefaultSettings),
--- a/node/unconfigured_test.go
+++ b/node/unconfigured_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
@@ -112,6 +113,35 @@
 		Expect(c.outdated(now)).To(BeFalse())
 	})
 
+	// Requests were run by old routes without an end while peers announced a newer version.
+	It("does not go on by an old configuration without an end", func() {
+		c := newConfiguration("n", nil, log.NewNopLogger(), time.Second)
+		first, err := version.Document{Version: 1, OperationID: "op", AcceptedAt: time.Now()}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		c.updateFromPeer("peer", first)
+		Expect(c.overdue(time.Now())).To(BeFalse())
+		c.recordPeerVersion(3)
+		known := time.Now()
+		Expect(c.overdue(known)).To(BeFalse())
+		Expect(c.overdue(known.Add(maxOutdated))).To(BeTrue())
+		c.updateFromPeer("peer", []byte("no document"))
+		Expect(c.overdue(known.Add(maxOutdated))).To(BeFalse(), "it can't decode that version")
+	})
+
+	It("asks callers to retry once its configuration is overdue", func() {
+		p := newPath(echo)
+		p.ingress.overdue = func() bool { return true }
+		r, err := http.NewRequest(http.MethodGet, p.caller.URL+"/s/peaks", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "org.example"
+		response, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		_ = response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(p.runs.Load()).To(BeZero())
+	})
+
 	It("is not synced by a peer without configuration", func() {
 		c := newConfiguration("n", nil, nil, time.Second)
 		c.recordPeerVersion(0)
--- a/process/fleet/configholder.go
+++ b/process/fleet/configholder.go
@@ -56,6 +56,19 @@
 	return ConfigHolder{Node: s.Node, HopAddress: s.HopAddress, Number: s.ConfigNumber}, true
 }
 
+// HasConfigAbove reports whether a peer from which a message has lately arrived has a
+// configuration with a higher number than the given one.
+func (t *Table) HasConfigAbove(number uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.peers {
+		if p.Status.ConfigNumber > number && t.receivedRecently(p, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // configRange is a range of numbers of configurations, bounds included.
 type configRange struct{ least, most uint64 }
 
