Soak: changes of the configuration all the time, and probes that see a node left behind

The soak had one change a second in its calm part, and each version had a route of its own. A probe for it counted only while no later version had been sent, so with quick changes only the last version was ever checked, and a node that stayed some versions behind was not seen.

Each version keeps a route in the 31 numbers after it. Each node is asked for the route of the latest version that has to be in force, which it must not refuse, and for the last one that no version since then has, which it must not serve.

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -232,13 +232,14 @@
 func operatorCommand() *soakCommand {
 	var operator standin.Operator
 	var services, out, back, acked string
-	var version int
+	var version, filler int
 	return &soakCommand{
 		name: "operator", synopsis: "make one change to the store as the operator, for the soak",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&operator.StoreAddress, "store", "", "`IP:port` of the store")
 			f.StringVar(&services, "services", "", "`name,...` of the services of a configuration")
 			f.IntVar(&version, "version", 0, "`number` of the configuration to write")
+			f.IntVar(&filler, "filler", 0, "`number` of further routes of the configuration")
 			f.StringVar(&acked, "acked", "", "`file` to which the acknowledgement of a configuration is appended")
 			f.StringVar(&out, "out", "", "`data centre` to take out of service")
 			f.StringVar(&back, "back", "", "`data centre` to return to service")
@@ -248,7 +249,7 @@
 			defer cancel()
 			switch {
 			case version > 0:
-				document, err := standin.ConfigWithOrganisations(version, soak.Organisations(version), strings.Split(services, ",")...)
+				document, err := standin.ConfigWithOrganisations(version, soak.Organisations(version), filler, strings.Split(services, ",")...)
 				if err != nil {
 					return errors.Wrap(err, "operator")
 				}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -47,7 +47,9 @@
 	}
 	configSent := make(map[int]int64) // by version, in Unix milliseconds
 	for i := range callers {
-		configSent[callers[i].Config] = callers[i].ConfigSentMillis
+		if sentMillis := callers[i].ConfigSentMillis; sentMillis > 0 {
+			configSent[callers[i].Config] = sentMillis
+		}
 	}
 	known := make(map[string]bool, len(callers))
 	afterFaults, answeredAfterFaults := 0, 0
@@ -131,7 +133,7 @@
 	refused := c.Status == http.StatusNotFound || c.Status == http.StatusUnauthorized
 	mayBeReplaced := false
 	for version, sentMillis := range configSent {
-		mayBeReplaced = mayBeReplaced || version > c.Config && sentMillis <= c.EndMillis
+		mayBeReplaced = mayBeReplaced || version >= c.Config+max(1, c.RouteVersions) && sentMillis <= c.EndMillis
 	}
 	switch {
 	case sent < faultsEndMillis:
--- a/internal/soak/probes.go
+++ b/internal/soak/probes.go
@@ -54,6 +54,7 @@
 		c.mu.Lock()
 		c.recent = recent
 		c.mu.Unlock()
+		c.probeRecentRoutes(client, &group, acked, i)
 		for age, config := range recent {
 			for n, node := range c.Nodes {
 				probe := func(name, path string, identity identity) {
@@ -72,6 +73,41 @@
 	}
 }
 
+// probeRecentRoutes requests two routes from each node, by the latest configuration that has to be
+// in force everywhere: its own one, which later configurations have too, and the last one that
+// neither it nor any later one has. However quickly configurations follow each other, a node that
+// has one from before refuses the former or serves the latter.
+func (c *Callers) probeRecentRoutes(client *http.Client, group *sync.WaitGroup, acked []AckedConfig, round int) {
+	inForce, ok := latestInForce(acked, time.Now())
+	if !ok {
+		return
+	}
+	current := CallerRecord{Config: inForce.Version, ConfigSentMillis: inForce.SentMillis, AckedMillis: inForce.AckedMillis}
+	past := CallerRecord{Config: inForce.Version - standin.RecentVersions, SupersededMillis: inForce.AckedMillis}
+	for n, node := range c.Nodes {
+		for _, record := range []CallerRecord{current, past} {
+			if record.Config <= 0 {
+				continue
+			}
+			record.ID = fmt.Sprintf("%s-recent-%d-%d-%d", c.IDPrefix, round, record.Config, n)
+			record.Node, record.RouteVersions = node, standin.RecentVersions
+			path := standin.RecentPath(record.Config) + record.ID
+			group.Go(func() { c.post(client, path, "x", lastingIdentity(hotOrganisation), record) })
+		}
+	}
+}
+
+// latestInForce returns the latest configuration that was acknowledged so long ago that it has to
+// be in force everywhere, or false if there is none.
+func latestInForce(acked []AckedConfig, now time.Time) (AckedConfig, bool) {
+	for _, config := range slices.Backward(acked) {
+		if config.AckedMillis+maxActivationDelay.Milliseconds() < now.UnixMilli() {
+			return config, true
+		}
+	}
+	return AckedConfig{}, false
+}
+
 // latestFirst returns the last configurations, at most probedKeys, the latest one first. A
 // configuration that was written again counts once.
 func latestFirst(acked []AckedConfig) []probedConfig {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -49,6 +49,9 @@
 	ConfigSentMillis int64 `json:"config_sent_ms,omitempty"`
 	AckedMillis      int64 `json:"acked_ms,omitempty"`
 	SupersededMillis int64 `json:"superseded_ms,omitempty"`
+	// RouteVersions is how many versions from Config on have the route, or 0 if only that one has
+	// it. The configuration that superseded it is then the first one without the route.
+	RouteVersions int `json:"route_versions,omitempty"`
 	// Poison means that targets crash when they run the request.
 	Poison bool `json:"poison,omitempty"`
 	// Early means that targets answer the request before they read its body.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -64,7 +64,10 @@
 		"config in time":  {with(func(t *CallerRecord) { t.Status, t.Config, t.AckedMillis, t.EndMillis = 404, 3, 1000, 3000 }), nil, ""},
 		"dropped route":   {with(func(t *CallerRecord) { t.Config, t.SupersededMillis, t.EndMillis = 3, 1000, 3001 }), []RunRecord{ran}, "config"},
 		"dropped in time": {with(func(t *CallerRecord) { t.Config, t.SupersededMillis, t.EndMillis = 3, 1000, 3000 }), []RunRecord{ran}, ""},
-		"no answer":       {with(func(t *CallerRecord) { t.Status = 0 }), []RunRecord{ran}, ""},
+		"late among many": {with(func(t *CallerRecord) {
+			t.Status, t.Config, t.RouteVersions, t.AckedMillis, t.EndMillis = 404, 3, 32, 1000, 3001
+		}), nil, "config"},
+		"no answer": {with(func(t *CallerRecord) { t.Status = 0 }), []RunRecord{ran}, ""},
 	} {
 		callers, runs := recoveryRecords()
 		result := CheckRecords(append(callers, test.caller), append(runs, test.runs...), 1000)
@@ -73,6 +76,21 @@
 			t.Errorf("%s: %q", name, got)
 		}
 	}
+	// Later configurations have the route too, so a node that refuses it has one from before, unless
+	// one without the route has been sent.
+	for version, want := range map[int]string{4: "config", 34: "config", 35: ""} {
+		callers, runs := recoveryRecords()
+		recent := with(func(t *CallerRecord) {
+			t.Status, t.Config, t.RouteVersions, t.AckedMillis, t.EndMillis = 404, 3, 32, 500, 3001
+		})
+		next := with(func(t *CallerRecord) {
+			t.Config, t.ConfigSentMillis, t.AckedMillis, t.EndMillis = version, 2000, 2010, 3100
+		})
+		got := strings.Join(CheckRecords(append(callers, recent, next), append(runs, ran), 1000).Violations, "; ")
+		if want == "" && got != "" || !strings.Contains(got, want) {
+			t.Errorf("version %d was sent meanwhile: %q", version, got)
+		}
+	}
 	// A configuration may be active before its acknowledgement is recorded.
 	for sentMillis, want := range map[int64]string{3001: "", 3002: "config"} {
 		callers, runs := recoveryRecords()
@@ -322,3 +340,14 @@
 		}
 	}
 }
+
+// Guards against probes of a configuration that need not be in force yet, or of an outdated one.
+func TestLatestInForce(t *testing.T) {
+	acked := []AckedConfig{{Version: 1, AckedMillis: 1000}, {Version: 2, AckedMillis: 1300}, {Version: 3, AckedMillis: 1600}}
+	limit := maxActivationDelay.Milliseconds()
+	for at, want := range map[int64]int{1000 + limit: 0, 1001 + limit: 1, 1300 + limit: 1, 1301 + limit: 2, 1601 + limit: 3} {
+		if got, ok := latestInForce(acked, time.UnixMilli(at)); got.Version != want || ok != (want > 0) {
+			t.Errorf("at %d: version %d, %t, want %d", at, got.Version, ok, want)
+		}
+	}
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -3,7 +3,9 @@
 # and checks the records of callers and targets against the invariants.
 # Usage: soak.sh SEED...
 # NODES, SECONDS_LOAD and RATE set the size of a run, and OUT is the directory for
-# its records. The first half of all IP addresses is NET.
+# its records. The first half of all IP addresses is NET. CHANGE_EVERY is the time in
+# seconds between changes of the configuration throughout the run. Without it, changes
+# are one of the faults. Configurations have ROUTES further routes.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 BIN=${BIN:-bin}
@@ -12,9 +14,12 @@
 RATE=${RATE:-80}
 OUT=${OUT:-out/soak}
 NET=${NET:-127.7}
+CHANGE_EVERY=${CHANGE_EVERY:-}
+ROUTES=${ROUTES:-0}
 SERVICES=(once-a safe-b)
 CALM=8 # seconds without faults at the end of a run
 CALM_CHANGES=4 # configurations in the first of these seconds, one each
+SETTLING=3 # seconds without changes at the end of these seconds
 
 declare -A pid_of
 begin() { # NAME FILE COMMAND...: start a process and record its PID
@@ -55,7 +60,13 @@
 operator() { "$BIN/vtstandin" operator -store "$store" "$@" 2>/dev/null || true; } # the failure of a change is one more fault
 config() { # VERSION: write a configuration
   version=$1
-  operator -version "$1" -acked "$dir/acked" -services "$(IFS=,; echo "${SERVICES[*]}")"
+  operator -version "$1" -filler "$ROUTES" -acked "$dir/acked" -services "$(IFS=,; echo "${SERVICES[*]}")"
+}
+change_steadily() { # write a configuration every CHANGE_EVERY seconds until it is ended
+  while :; do config $((version + 1)); sleep "$CHANGE_EVERY"; done
+}
+change() { # VERSION: write a configuration unless change_steadily does
+  [ -n "$CHANGE_EVERY" ] || config "$1"
 }
 
 revive_targets() { # start the targets anew that a request has crashed
@@ -77,7 +88,7 @@
     sever_all) # the open connections between all nodes, and to the store, go silent
       for ((i = 0; i < NODES; i++)); do control POST "http://$(ip "$i"):7023/sever"; control POST "http://$(ip "$i"):7024/sever"; done ;;
     go_back) # the store comes back from an older copy, and the operator writes the configuration again
-      control POST "http://$store_control/go-back/$((RANDOM % 3000 + 200))"; sleep "0.$((RANDOM % 9 + 1))"; config "$version" ;;
+      control POST "http://$store_control/go-back/$((RANDOM % 3000 + 200))"; sleep "0.$((RANDOM % 9 + 1))"; change "$version" ;;
     kill_all)
       for ((i = 0; i < NODES; i++)); do end "node$i" KILL; done
       for ((i = 0; i < NODES; i++)); do wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i"; done ;;
@@ -86,7 +97,7 @@
     reload) sed -i "s/repeat_slack: .*, repeat_w/repeat_slack: $((RANDOM % 50 + 30)), repeat_w/" "$dir/settings-$i.yaml"; [ $((RANDOM % 2)) = 0 ] && end "node$i" HUP ;;
     crash_target) end "target$i" KILL; wait "${pid_of[target$i]}" 2>/dev/null; sleep 0.5; start_target "$i" ;;
     leave_target) end "target$i" TERM; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" ;;
-    config) config $((version + RANDOM % 3 + 1)) ;;
+    config) change $((version + RANDOM % 3 + 1)) ;;
     out) operator -out "z$((RANDOM % 3))" ;;
   esac
 }
@@ -116,6 +127,7 @@
   for ((i = 0; i < NODES; i++)); do start_node "$i"; start_target "$i"; done
   sleep 2
   begin callers "$dir/told-0" "$BIN/vtstandin" callers -nodes "${nodes:1}" -node-services "${node_services:1}" -services "$(IFS=,; echo "${SERVICES[*]}")" -rate "$RATE" -prefix "s$seed" -acked "$dir/acked" -poison 1.1s
+  [ -z "$CHANGE_EVERY" ] || begin changes "$dir/changes" change_steadily
   local until=$((SECONDS + SECONDS_LOAD)) store_kinds=(down silent mute_watches lose_answers compacted)
   while [ $SECONDS -lt $until ]; do
     fault "${kinds[$((RANDOM % ${#kinds[@]}))]}" "${store_kinds[$((RANDOM % 5))]}"
@@ -125,12 +137,14 @@
   done
   heal
   control POST "http://$store_control/" '{"mute_watches":true}'
-  config $((version + 1)); sleep 1
+  change $((version + 1)); sleep 1
   control POST "http://$store_control/" '{}'
   revive_targets; sleep 3
   local calm; calm=$(date +%s%3N)
-  for ((i = 0; i < CALM_CHANGES; i++)); do config $((version + 1)); revive_targets; sleep 1; done
-  sleep $((CALM - CALM_CHANGES))
+  for ((i = 0; i < CALM_CHANGES; i++)); do change $((version + 1)); revive_targets; sleep 1; done
+  sleep $((CALM - CALM_CHANGES - SETTLING))
+  [ -z "$CHANGE_EVERY" ] || end changes
+  sleep "$SETTLING"
   end callers; wait "${pid_of[callers]}" 2>/dev/null
   "$BIN/vtstandin" judge -dir "$dir" -calm "$calm" >"$dir/verdict" 2>&1
   local status=$? name
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -30,3 +30,4 @@
 trap 'rm -rf "$BIN"' EXIT
 go build -o "$BIN/" ./cmd/vtnode ./cmd/vtstandin
 BIN="$BIN" OUT="$BIN/soak" NODES=4 SECONDS_LOAD=5 RATE=40 scripts/soak.sh "${SOAK_SEED:-1}"
+BIN="$BIN" OUT="$BIN/soak" NODES=4 SECONDS_LOAD=8 RATE=40 CHANGE_EVERY=0.3 ROUTES=1000 scripts/soak.sh "${SOAK_SEED:-1}"
