MIXED: a late error without an ID was taken for the response to the next request

What callers saw: a request that its target ran was answered as not run, by a late extra error response for an earlier one on a kept connection.

Cause: an error without an ID counted as the response to the request that waits, since a target may refuse a request before it has read its headers. On a connection that has carried a response, it may as well be a late copy for an earlier request.

Change: on such a connection the response is malformed, after which the request may have run. Hops between nodes set TrustMissingID: nodes send one response to each request, and reject a hop whose head can't be read without an ID.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -188,12 +188,19 @@
 // a second copy of it would be taken for the response to the next request.
 func (c *conn) readMatchingResponse(request *Request, options *Options) (*Response, bool, error) {
 	for range maxSkippedResponses {
+		trustMissingID := options.TrustMissingID || !c.used
 		response, reusable, err := c.readResponse(request.Method, options)
 		if err != nil {
 			return nil, false, err
 		}
-		if matchesRequest(response, request.ID, options.IDHeader) {
-			return response, reusable && repeatsID(response, request.ID, options.IDHeader), nil
+		if repeatsID(response, request.ID, options.IDHeader) {
+			return response, reusable, nil
+		}
+		if isErrorWithoutID(response, options.IDHeader) {
+			if !trustMissingID {
+				return nil, false, errors.Wrap(errMalformedResponse, "error without an ID on a kept connection")
+			}
+			return response, false, nil
 		}
 		if !reusable {
 			return nil, false, &mismatchedIDError{id: response.Header.Get(options.IDHeader)}
@@ -202,14 +209,10 @@
 	return nil, false, errors.Wrap(errMalformedResponse, "too many answers to other requests")
 }
 
-// matchesRequest reports whether a response belongs to the request with the
-// given ID. An error response may lack the ID, since a target may refuse a
-// request before it has read its headers. Only the first such response of a
-// connection belongs to the request that waits.
-func matchesRequest(response *Response, id, idHeader string) bool {
-	if repeatsID(response, id, idHeader) {
-		return true
-	}
+// isErrorWithoutID reports whether a response is an error without an ID: a target may refuse a
+// request before it has read its headers. On a connection that has carried a response, it may be
+// a late copy for an earlier request, too.
+func isErrorWithoutID(response *Response, idHeader string) bool {
 	return response.Header.Get(idHeader) == "" && response.Status >= http.StatusBadRequest
 }
 
--- a/connection/exchange/pool.go
+++ b/connection/exchange/pool.go
@@ -28,6 +28,10 @@
 	// IDHeader is the name of the header in which a response repeats the ID of
 	// its request.
 	IDHeader string
+	// TrustMissingID means that the server sends nothing but one response to each request,
+	// so that an error response without an ID belongs to the request that waits also on a
+	// connection that has carried a response before.
+	TrustMissingID bool
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// TCPUserTimeout bounds how long sent bytes may stay unacknowledged before
--- a/gateway/hop.go
+++ b/gateway/hop.go
@@ -113,6 +113,7 @@
 	if p == nil {
 		p = &hopPool{Pool: exchange.NewPool(address, exchange.Options{
 			IDHeader:       platform.HeaderRequestID,
+			TrustMissingID: true, // rejections of hops whose head can't be read have none
 			DialTimeout:    hopDialTimeout,
 			TCPUserTimeout: hopUserTimeout,
 			Silence:        hopSilence,
