A status that crossed a change left the active configuration's number as missing

Found by reading: a status is merged with the active number read before, so a change in between left its own number in the list of missing ones, and the node would have rejected requests as overdue from the announcement of the next change until it was active.

TestNumberOfTheActiveConfigurationIsNotMissing failed before by the same steps.

--- a/gateway/configlag.go
+++ b/gateway/configlag.go
@@ -23,11 +23,13 @@
 	newest uint64
 	// receivedAt is when the node last received the newest number.
 	receivedAt time.Time
-	// missing holds the numbers above the active one.
-	missing configstore.MissingVersions
+	// activeNumber is the number of the latest configuration that became active, and missing
+	// holds the numbers above it.
+	activeNumber uint64
+	missing      configstore.MissingVersions
 	// undecodable is the highest number of a configuration that this node can't decode.
 	undecodable uint64
-	// failures counts the failed fetches since then.
+	// failures counts the failed fetches since the latest change.
 	failures int
 }
 
@@ -39,7 +41,7 @@
 	if number >= l.newest {
 		l.newest, l.receivedAt = number, now
 	}
-	l.missing.Received(number, active, now)
+	l.missing.Received(number, max(active, l.activeNumber), now)
 }
 
 // outdated reports whether the node knows of a newer configuration than the active one.
@@ -102,6 +104,7 @@
 	}
 	failures = l.failures
 	l.failures = 0
+	l.activeNumber = max(l.activeNumber, number)
 	l.missing.Activated(number)
 	return outdatedFor, failures
 }
--- a/gateway/configlag_test.go
+++ b/gateway/configlag_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// A status was handled with the active number from before a change that happened meanwhile. Its number must
+// not count as missing, or the node is overdue as soon as the next change is announced.
+func TestNumberOfTheActiveConfigurationIsNotMissing(t *testing.T) {
+	var lag configLag
+	start := time.Unix(1000, 0)
+	lag.activated(5, start)
+	lag.received(5, 4, start)
+	later := start.Add(time.Minute)
+	lag.received(6, 5, later)
+	if lag.overdue(5, time.Second, later) {
+		t.Error("overdue as soon as the next configuration is known")
+	}
+	if d, _ := lag.activated(6, later.Add(100*time.Millisecond)); d != 100*time.Millisecond {
+		t.Errorf("outdated for %v, want 100ms", d)
+	}
+}
+
 // A peer has a newer configuration and does not send it. The node ran requests by its old routes without an
 // end, as only the older configuration allows. Where no peer has the newer one any more, it goes on.
 func TestOverdueNodeRejectsRequests(t *testing.T) {
