--- a/gateway/hopcollectdial_test.go
+++ b/gateway/hopcollectdial_test.go
@@ -136,7 +136,7 @@
 }
 
 // A dial that timed out at once was repeated at once until the deadline, with a log line each
-// time; where the clock stands still while a process computes, the node span for good.
+// time; where the clock stands still while a process computes, the node spun for good.
 func TestCollectWaitsAfterADialThatTimedOutAtOnce(t *testing.T) {
 	const timeout = 500 * time.Millisecond
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
@@ -156,7 +156,7 @@
 // Deadline implements context.Context.
 func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
 
-// A node span at the deadline of a request: each dial timed out without a connect, and the
+// A node spun at the deadline of a request: each dial timed out without a connect, and the
 // timer of the context did not run meanwhile.
 func TestCollectEndsAtTheDeadlineAlthoughTheTimerIsLate(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -25,7 +25,8 @@
 [ -z "$spec_package" ] || go test -race -count=1 -timeout 600s "${skip[@]}" "$spec_package" -ginkgo.skip "$spec_text"
 # The fleets of the planned size are simulated without the race detector only.
 go test -count=1 -timeout 600s -run 'TestConfigurationReachesAllNodes|TestLargeConfigurationIsActiveInTime|TestStoreIsReadSoonAfterAnOutage' ./process/fleet
-# A short fault soak of the programs. `make soak` runs longer ones.
+# Short fault soaks of the programs, the second one with changes of the configuration
+# throughout. `make soak` runs longer ones.
 BIN=$(mktemp -d)
 trap 'rm -rf "$BIN"' EXIT
 go build -o "$BIN/" ./cmd/vtnode ./cmd/vtstandin
