--- a/review/kit2/departure.go
+++ b/review/kit2/departure.go
@@ -30,11 +30,11 @@
 // TROUBLE=kill leaves the drill out, so that it shows which disruption matters.
 func playDeparture(e *env) []string {
 	drill := e.trouble && os.Getenv("TROUBLE") != "kill"
-	s := newStore(e, "127.0.0.1")
+	s := newStore(e)
 	s.put("config/main", viewConfig)
 	var nodes []*node
 	for i := range 4 {
-		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], "viewer", "127.0.0.1", s.address)
+		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], "viewer", s.address)
 		n.start()
 		nodes = append(nodes, n)
 		if i > 0 {
--- a/review/kit2/env.go
+++ b/review/kit2/env.go
@@ -5,11 +5,13 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,6 +22,8 @@
 type env struct {
 	// trouble is false in a run without the disruption.
 	trouble bool
+	// ip is the loopback IP of this run. Runs at the same time have different ones.
+	ip      string
 	tmp     string
 	started time.Time
 
@@ -39,7 +43,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &env{trouble: trouble, tmp: tmp, started: time.Now(), record: bufio.NewWriter(file), file: file}, nil
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+	return &env{trouble: trouble, ip: ip, tmp: tmp, started: time.Now(), record: bufio.NewWriter(file), file: file}, nil
 }
 
 // log writes a line to the record, with the seconds since the start.
@@ -86,28 +91,36 @@
 	ended       chan struct{}
 }
 
+// Ports of the listeners are below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
 // freeAddresses returns addresses on a loopback IP that nothing listens on, over TCP and UDP.
 func freeAddresses(ip string, count int) []string {
 	var addresses []string
-	var listeners []net.Listener
 	for len(addresses) < count {
-		l, err := net.Listen("tcp4", ip+":0")
-		check(err)
-		listeners = append(listeners, l)
-		if u, err := net.ListenPacket("udp4", l.Addr().String()); err == nil {
-			_ = u.Close()
-			addresses = append(addresses, l.Addr().String())
+		address := fmt.Sprintf("%s:%d", ip, firstPort+rand.IntN(portCount))
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
 		}
-	}
-	for _, l := range listeners {
+		u, err := net.ListenPacket("udp4", address)
 		_ = l.Close()
+		if err == nil && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+		if err == nil {
+			_ = u.Close()
+		}
 	}
 	return addresses
 }
 
 // newNode writes the settings of a node, as the template of the deploy file has them.
-func (e *env) newNode(name, dataCentre, service, ip, store string) *node {
-	a := freeAddresses(ip, 7)
+func (e *env) newNode(name, dataCentre, service, store string) *node {
+	a := freeAddresses(e.ip, 7)
 	n := &node{
 		env: e, name: name, dataCentre: dataCentre, service: service, target: a[0], callers: a[1], hop: a[2], readiness: a[3],
 		reports: a[4], peers: a[5], metricsAddr: a[6], stopSeconds: 6, settings: filepath.Join(e.tmp, name+".yaml"),
--- a/review/kit2/outage.go
+++ b/review/kit2/outage.go
@@ -17,11 +17,11 @@
 // playOutage lets a server leave while the store is down, and kills all nodes after the
 // acknowledgement. A status report that the server sent before arrives late.
 func playOutage(e *env) []string {
-	s := newStore(e, "127.0.0.1")
+	s := newStore(e)
 	s.put("config/main", viewConfig)
 	var nodes []*node
 	for i := range 4 {
-		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], "viewer", "127.0.0.1", s.address)
+		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], "viewer", s.address)
 		n.start()
 		nodes = append(nodes, n)
 		if i > 0 {
--- a/review/kit2/pipelined.go
+++ b/review/kit2/pipelined.go
@@ -31,12 +31,12 @@
 // playPipelined stops a node as planned while clients send further requests on a connection
 // before the first one is answered.
 func playPipelined(e *env) []string {
-	s := newStore(e, "127.0.0.1")
+	s := newStore(e)
 	s.put("config/main", viewConfig)
 	var nodes []*node
 	var servers []*server
 	for i := range 3 {
-		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], "viewer", "127.0.0.1", s.address)
+		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], "viewer", s.address)
 		n.start()
 		nodes = append(nodes, n)
 		servers = append(servers, e.startServer(n, fmt.Sprintf("i-%d", i), 60, 100*time.Millisecond))
@@ -49,7 +49,7 @@
 			time.Sleep(time.Second)
 		}
 	}()
-	link := startDelay("127.0.0.1", nodes[0].callers, linkDelay)
+	link := e.startDelay(nodes[0].callers, linkDelay)
 	var mu sync.Mutex
 	var pairs []*pair
 	var group sync.WaitGroup
--- a/review/kit2/proxy.go
+++ b/review/kit2/proxy.go
@@ -9,8 +9,8 @@
 
 // startDelay forwards connections to an address and delays the bytes of each direction, as a
 // link does. It returns its address.
-func startDelay(ip, to string, delay time.Duration) string {
-	l, err := net.Listen("tcp4", ip+":0")
+func (e *env) startDelay(to string, delay time.Duration) string {
+	l, err := net.Listen("tcp4", freeAddresses(e.ip, 1)[0])
 	check(err)
 	go func() {
 		for {
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -59,8 +59,8 @@
 	objects  map[string]storedObject
 }
 
-func newStore(e *env, ip string) *store {
-	l, err := net.Listen("tcp4", ip+":0")
+func newStore(e *env) *store {
+	l, err := net.Listen("tcp4", freeAddresses(e.ip, 1)[0])
 	check(err)
 	s := &store{address: l.Addr().String(), era: 1, revision: 100, objects: map[string]storedObject{}, changed: make(chan struct{})}
 	s.copies = []storeCopy{{at: time.Now(), revision: s.revision, objects: map[string]storedObject{}}}
--- a/review/kit2/watchers.go
+++ b/review/kit2/watchers.go
@@ -28,13 +28,13 @@
 // playWatchers kills the processes that watch the store for the others, all at the same moment,
 // and moves the route to another service right after that. Then it does so again.
 func playWatchers(e *env) []string {
-	s := newStore(e, "127.0.0.1")
+	s := newStore(e)
 	version, services := 5, []string{"viewer", "archive"}
 	s.put("config/main", movedConfig(version, services[0]))
 	var nodes []*node
 	var servers []*server
 	for i := range 8 {
-		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], services[i%2], "127.0.0.1", s.address)
+		n := e.newNode(fmt.Sprintf("n%d", i), []string{"za", "zb", "zc"}[i%3], services[i%2], s.address)
 		n.start()
 		nodes = append(nodes, n)
 		servers = append(servers, e.startServer(n, fmt.Sprintf("i-%d", i), 40, 10*time.Millisecond))
