--- a/review/kit2/client.go
+++ b/review/kit2/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +31,7 @@
 
 	mu      sync.Mutex
 	count   int
+	sent    map[string]time.Time
 	answers []answer
 }
 
@@ -44,8 +46,12 @@
 	c.mu.Lock()
 	c.count++
 	id := fmt.Sprintf("q%06d", c.count)
-	c.mu.Unlock()
 	a := answer{id: id, sentAt: time.Now()}
+	if c.sent == nil {
+		c.sent = make(map[string]time.Time)
+	}
+	c.sent[id] = a.sentAt
+	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), q.timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.callers+q.path, strings.NewReader(q.body))
@@ -93,9 +99,5 @@
 func (c *client) sentTimes() map[string]time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sent := make(map[string]time.Time, len(c.answers))
-	for _, a := range c.answers {
-		sent[a.id] = a.sentAt
-	}
-	return sent
+	return maps.Clone(c.sent)
 }
--- a/review/kit2/env.go
+++ b/review/kit2/env.go
@@ -11,8 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,7 +21,9 @@
 	// trouble is false in a run without the disruption.
 	trouble bool
 	// ip is the loopback IP of this run. Runs at the same time have different ones.
-	ip      string
+	ip string
+	// taken holds the addresses that are in use or will be.
+	taken   map[string]bool
 	tmp     string
 	started time.Time
 
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
-	return &env{trouble: trouble, ip: ip, tmp: tmp, started: time.Now(), record: bufio.NewWriter(file), file: file}, nil
+	return &env{trouble: trouble, ip: ip, taken: make(map[string]bool), tmp: tmp, started: time.Now(), record: bufio.NewWriter(file), file: file}, nil
 }
 
 // log writes a line to the record, with the seconds since the start.
@@ -97,22 +97,25 @@
 	portCount = 10000
 )
 
-// freeAddresses returns addresses on a loopback IP that nothing listens on, over TCP and UDP.
-func freeAddresses(ip string, count int) []string {
+// freeAddresses returns addresses of this run that nothing listens on, over TCP and UDP. It returns
+// none twice.
+func (e *env) freeAddresses(count int) []string {
 	var addresses []string
 	for len(addresses) < count {
-		address := fmt.Sprintf("%s:%d", ip, firstPort+rand.IntN(portCount))
+		address := fmt.Sprintf("%s:%d", e.ip, firstPort+rand.IntN(portCount))
+		if e.taken[address] {
+			continue
+		}
 		l, err := net.Listen("tcp4", address)
 		if err != nil {
 			continue
 		}
 		u, err := net.ListenPacket("udp4", address)
 		_ = l.Close()
-		if err == nil && !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
-		}
 		if err == nil {
 			_ = u.Close()
+			e.taken[address] = true
+			addresses = append(addresses, address)
 		}
 	}
 	return addresses
@@ -120,7 +123,7 @@
 
 // newNode writes the settings of a node, as the template of the deploy file has them.
 func (e *env) newNode(name, dataCentre, service, store string) *node {
-	a := freeAddresses(e.ip, 7)
+	a := e.freeAddresses(7)
 	n := &node{
 		env: e, name: name, dataCentre: dataCentre, service: service, target: a[0], callers: a[1], hop: a[2], readiness: a[3],
 		reports: a[4], peers: a[5], metricsAddr: a[6], stopSeconds: 6, settings: filepath.Join(e.tmp, name+".yaml"),
@@ -197,16 +200,6 @@
 	<-n.ended
 }
 
-// running reports whether the process has not ended.
-func (n *node) running() bool {
-	select {
-	case <-n.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // ready reports whether the node answers a readiness check with 200.
 func (n *node) ready() bool {
 	client := http.Client{Timeout: time.Second}
@@ -230,15 +223,3 @@
 		}
 	}
 }
-
-// grepLog returns the lines of a node's log that contain a text.
-func (n *node) grepLog(text string) []string {
-	data, _ := os.ReadFile(filepath.Join(n.env.tmp, n.name+".log"))
-	var found []string
-	for line := range strings.Lines(string(data)) {
-		if strings.Contains(line, text) {
-			found = append(found, strings.TrimSpace(line))
-		}
-	}
-	return found
-}
--- a/review/kit2/proxy.go
+++ b/review/kit2/proxy.go
@@ -10,7 +10,7 @@
 // startDelay forwards connections to an address and delays the bytes of each direction, as a
 // link does. It returns its address.
 func (e *env) startDelay(to string, delay time.Duration) string {
-	l, err := net.Listen("tcp4", freeAddresses(e.ip, 1)[0])
+	l, err := net.Listen("tcp4", e.freeAddresses(1)[0])
 	check(err)
 	go func() {
 		for {
--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -24,6 +24,8 @@
 	slots    int
 	work     time.Duration
 	born     int64
+	// coldFor is how long the server is cold after its start, and every the time between reports.
+	coldFor, every time.Duration
 
 	http *http.Server
 
@@ -43,7 +45,15 @@
 
 // startServer starts a boot of the server beside a node.
 func (e *env) startServer(n *node, instance string, slots int, work time.Duration) *server {
-	s := &server{env: e, node: n, instance: instance, service: n.service, slots: slots, work: work, born: time.Now().UnixMilli()}
+	return e.startColdServer(n, instance, slots, work, 0, reportInterval)
+}
+
+// startColdServer is like startServer for a server that is cold after its start.
+func (e *env) startColdServer(n *node, instance string, slots int, work, coldFor, every time.Duration) *server {
+	s := &server{
+		env: e, node: n, instance: instance, service: n.service, slots: slots, work: work, born: time.Now().UnixMilli(),
+		coldFor: coldFor, every: every,
+	}
 	var l net.Listener
 	var err error
 	for range 50 { // the boot before may not have closed its address yet
@@ -85,7 +95,7 @@
 			return
 		}
 		_ = s.send(s.nextReport("ready"))
-		time.Sleep(reportInterval)
+		time.Sleep(s.every)
 	}
 }
 
@@ -97,11 +107,16 @@
 	body, _ := json.Marshal(map[string]any{
 		"address": s.node.target, "born": s.born,
 		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.node.dataCentre, "slots": s.slots},
-		"status": map[string]any{"state": state, "sequence": s.sequence, "coldRemainingS": 0},
+		"status": map[string]any{"state": state, "sequence": s.sequence, "coldRemainingS": s.coldRemaining().Seconds()},
 	})
 	return body
 }
 
+// coldRemaining returns how much longer the server is cold.
+func (s *server) coldRemaining() time.Duration {
+	return max(0, time.Until(time.UnixMilli(s.born).Add(s.coldFor)))
+}
+
 // send sends a status report and reports whether it was acknowledged.
 func (s *server) send(report []byte) bool {
 	return s.call(http.MethodPut, report)
@@ -145,6 +160,9 @@
 	header.Set("Server-Load", fmt.Sprintf("%d,0,%d,100", running, s.slots))
 	if r.URL.Path == "/health" {
 		header.Set("Instance-Id", s.instance)
+		if cold := s.coldRemaining(); cold > 0 {
+			header.Set("Cold-Start-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
+		}
 		return
 	}
 	id := r.Header.Get("Request-Id")
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -60,7 +60,7 @@
 }
 
 func newStore(e *env) *store {
-	l, err := net.Listen("tcp4", freeAddresses(e.ip, 1)[0])
+	l, err := net.Listen("tcp4", e.freeAddresses(1)[0])
 	check(err)
 	s := &store{address: l.Addr().String(), era: 1, revision: 100, objects: map[string]storedObject{}, changed: make(chan struct{})}
 	s.copies = []storeCopy{{at: time.Now(), revision: s.revision, objects: map[string]storedObject{}}}
@@ -75,13 +75,6 @@
 	s.set(key, json.RawMessage(spec))
 }
 
-// remove deletes an object as the operator.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delete(key)
-}
-
 // has reports whether an object exists, and returns its spec.
 func (s *store) has(key string) (string, bool) {
 	s.mu.Lock()
