--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -49,6 +51,13 @@
 		e.close()
 		os.Exit(exitFailed)
 	})
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-ended
+		e.close()
+		os.Exit(exitFailed)
+	}()
 	violations := play(e)
 	for _, v := range violations {
 		e.log("VIOLATION %s", v)
