--- a/review/kit2/pipelined.go
+++ b/review/kit2/pipelined.go
@@ -17,15 +17,16 @@
 func init() { cases["pipelined"] = playPipelined }
 
 // linkDelay is the delay of the link between clients and their node, one way.
-const linkDelay = 8 * time.Millisecond
+const linkDelay = time.Millisecond
 
 // pair is two requests of a client on one connection, of which the second one was sent before
 // the answer to the first one came.
 type pair struct {
 	first, second     string
-	secondSent        time.Time
 	firstOK, secondOK bool
-	closed            bool // the answer to the first one closed the connection
+	// sentBefore is set if the second request was sent before the first answer began to arrive.
+	sentBefore bool
+	closed     bool // the answer to the first one closed the connection
 }
 
 // playPipelined stops a node as planned while clients send further requests on a connection
@@ -81,7 +82,7 @@
 	var violations []string
 	for _, p := range pairs {
 		at, ok := ran[p.second]
-		if ok && !p.secondOK && p.closed {
+		if ok && !p.secondOK && p.closed && p.sentBefore {
 			violations = append(violations, fmt.Sprintf("LOST: %s was passed on to a server at %.3f s, although the answer to %s had closed its connection, and got no answer", p.second, at.Sub(e.started).Seconds(), p.first))
 		}
 	}
@@ -102,9 +103,23 @@
 	}
 	write(p.first)
 	reader := bufio.NewReader(c)
-	time.Sleep(100*time.Millisecond + time.Duration(rand.Int64N(int64(2*linkDelay))))
-	p.secondSent = time.Now()
+	arrived := make(chan struct{})
+	go func() {
+		_, _ = reader.Peek(1) // an error shows when the answer is read
+		close(arrived)
+	}()
+	select { // the answer is due after the work of the server and the way there and back
+	case <-arrived:
+		return
+	case <-time.After(100*time.Millisecond + rand.N(4*linkDelay)):
+	}
 	write(p.second)
+	select {
+	case <-arrived:
+	default:
+		p.sentBefore = true
+	}
+	<-arrived
 	read := func(id string) (ok, closes bool) {
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
