--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -124,6 +124,7 @@
 			f.StringVar(&options.ReportAddress, "node", "", "`IP:port` of the node's listener for reports")
 			f.IntVar(&options.Slots, "slots", 8, "number of requests that it runs at once")
 			f.DurationVar(&options.RunTime, "work", 20*time.Millisecond, "duration of a run")
+			f.DurationVar(&options.ColdDuration, "cold", 0, "time for which it is cold after its start")
 			f.DurationVar(&options.ReportInterval, "every", 500*time.Millisecond, "time between reports")
 		},
 		run: func(ctx context.Context) error { return runServer(ctx, options, address) },
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -71,6 +71,7 @@
 	result.checkCallerServices(callers, runsByID)
 	result.checkPoison(callers, runs)
 	result.checkQuota(runs)
+	result.checkCold(callers, runs)
 	for i := range runs {
 		result.checkArrival(&runs[i], known[runs[i].ID])
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -87,6 +87,8 @@
 	HasKey bool `json:"has_key,omitempty"`
 	// StartMillis is when the run began, in Unix milliseconds.
 	StartMillis int64 `json:"at_ms"`
+	// Cold means that the target was cold then.
+	Cold bool `json:"cold,omitempty"`
 	// DrainAckedMillis is when a node acknowledged that the target drains, in Unix
 	// milliseconds, or zero.
 	DrainAckedMillis int64 `json:"acked_ms"`
@@ -97,7 +99,7 @@
 func NewRunRecord(run *standin.Run, instance, service string, drainAckedAt time.Time) RunRecord {
 	record := RunRecord{
 		ID: run.ID, Instance: instance, Service: service, Request: summarize(run.Method + " " + run.RequestURI + " " + run.Body),
-		CallerService: run.CallerService, Organisations: run.Organisations, HasKey: run.HasKey, StartMillis: run.StartTime.UnixMilli(),
+		CallerService: run.CallerService, Organisations: run.Organisations, HasKey: run.HasKey, StartMillis: run.StartTime.UnixMilli(), Cold: run.Cold,
 		Incomplete: run.Incomplete, WrongRest: AnswersEarly(run.ID) && run.Body != uniqueBody(run.ID, len(run.Body)),
 	}
 	if !drainAckedAt.IsZero() {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -20,6 +20,8 @@
 CALM=8 # seconds without faults at the end of a run
 CALM_CHANGES=4 # configurations in the first of these seconds, one each
 SETTLING=3 # seconds without changes at the end of these seconds
+COLD=3s # time for which a target is cold after its start
+SURGE_RATE=250 # requests per second to the service of a cold target whose node is killed
 
 declare -A pid_of
 begin() { # NAME FILE COMMAND...: start a process and record its PID
@@ -55,7 +57,7 @@
 start_target() {
   instances=$((instances + 1))
   begin "target$1" "$dir/ran-$instances" "$BIN/vtstandin" server -listen "$(ip "$1"):7001" -instance "i-$1-$instances" \
-    -service "${SERVICES[$(($1 % 2))]}" -dc "z$(($1 % 3))" -node "$(ip "$1"):7005"
+    -service "${SERVICES[$(($1 % 2))]}" -dc "z$(($1 % 3))" -node "$(ip "$1"):7005" -cold "$COLD"
 }
 operator() { "$BIN/vtstandin" operator -store "$store" "$@" 2>/dev/null || true; } # the failure of a change is one more fault
 config() { # VERSION: write a configuration
@@ -76,6 +78,17 @@
   done
 }
 
+surges=0
+kill_beside_cold() { # I: kill the node beside a target that has just started, under a surge of requests to its service
+  surges=$((surges + 1))
+  end "target$1" KILL; wait "${pid_of[target$1]}" 2>/dev/null; start_target "$1"
+  begin surge "$dir/told-surge-$surges" "$BIN/vtstandin" callers -nodes "${nodes:1}" -node-services "${node_services:1}" -services "${SERVICES[$(($1 % 2))]}" -rate "$SURGE_RATE" -prefix "s$seed-surge$surges"
+  sleep "0.$((RANDOM % 6 + 3))"
+  end "node$1" KILL; wait "${pid_of[node$1]}" 2>/dev/null; start_node "$1"
+  sleep 1.2
+  end surge; wait "${pid_of[surge]}" 2>/dev/null
+}
+
 fault() { # KIND STORE_FAULT: inject a fault with parameters drawn by the seed; heal removes those that do not end by themselves
   local i=$((RANDOM % NODES)) modes=(delay reset silence cut-in cut-out refuse sever) m
   m=${modes[$((RANDOM % ${#modes[@]}))]}
@@ -92,6 +105,7 @@
     kill_all)
       for ((i = 0; i < NODES; i++)); do end "node$i" KILL; done
       for ((i = 0; i < NODES; i++)); do wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i"; done ;;
+    kill_beside_cold) kill_beside_cold "$i" ;;
     stop_node) end "node$i" TERM; wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i" ;;
     pause_node) end "node$i" STOP; sleep "0.$((RANDOM % 9 + 1))"; end "node$i" CONT ;;
     reload) sed -i "s/repeat_slack: .*, repeat_w/repeat_slack: $((RANDOM % 50 + 30)), repeat_w/" "$dir/settings-$i.yaml"; [ $((RANDOM % 2)) = 0 ] && end "node$i" HUP ;;
@@ -116,7 +130,7 @@
   dir=$OUT/$seed; rm -rf "$dir"; mkdir -p "$dir"
   store=$(ip 200):7100; store_control=$(ip 200):7101
   begin store "$dir/store" "$BIN/vtstandin" store -listen "$store" -control "$store_control"
-  local i nodes='' node_services='' kinds=(hop store store_all sever_all go_back kill_node kill_all stop_node pause_node reload crash_target leave_target config out)
+  local i nodes='' node_services='' kinds=(hop store store_all sever_all go_back kill_node kill_all kill_beside_cold stop_node pause_node reload crash_target leave_target config out)
   for ((i = 0; i < NODES; i++)); do
     settings "$i" >"$dir/settings-$i.yaml"
     begin "hop$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7013" -to "$(ip "$i"):7003" -control "$(ip "$i"):7023"
