FAILBACK: a new process counted from zero what its cold target gets

Cause: the gate keeps its sends to a cold target of the last second in memory. The new process applied the target's next report and sent as many again within the same second.

Change: a gate sends a cold target nothing until a second after the start of its process. Whatever earlier processes sent arrived before that start, so none of it counts any more then, also after several kills in a row. A warm target is served at once.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -102,7 +102,7 @@
 	n.configTransfers = fleet.NewTransferLimiter(fleet.MaxConfigTransfers, configTransferTimeout)
 	n.localTarget = newLocalTarget(n, gate.Settings{
 		QueueShare: queueShare, NestedShare: nestedShare, DedupWindow: dedupWindow,
-		RetryBudget: settings.Limits.retryBudget(), SlackFrom: n.slackFrom(),
+		RetryBudget: settings.Limits.retryBudget(), SlackFrom: n.slackFrom(), StartedAt: n.startedAt,
 	})
 	n.health = newHealthChecker(n)
 	n.peers = newStatusExchange(n, rand.Uint64())
--- a/process/gate/capacity.go
+++ b/process/gate/capacity.go
@@ -62,7 +62,15 @@
 	if g.running >= limit || !req.nested && g.inSlowPeriod(now) {
 		return false
 	}
-	return !g.cold(now) || g.arrivals.count(now) < g.coldLimit()
+	return !g.cold(now) || g.coldDelay(now) == 0
+}
+
+// coldDelay returns the time until a cold target may receive one more request, if none is
+// sent before then. Until coldWindow after the start of this process, the sends of an earlier
+// one may still count.
+func (g *Gate) coldDelay(now time.Time) time.Duration {
+	untilWindowEnds := g.settings.StartedAt.Add(coldWindow).Sub(now)
+	return max(untilWindowEnds, g.arrivals.timeUntilBelow(now, g.coldLimit()), 0)
 }
 
 // inSlowPeriod reports whether the target turned slow within slowPeriodHold.
--- a/process/gate/cold_test.go
+++ b/process/gate/cold_test.go
@@ -35,3 +35,58 @@
 		t.Errorf("refused %q, waits: %t, want admitted", d.Refused, d.Waiter != nil)
 	}
 }
+
+// A node was killed right after it had sent its cold target all that this tolerates in a second.
+// The new process counted from zero and sent as many again within that second. A warm target gets
+// requests from a new process at once.
+func TestReplacedProcessesStayWithinColdRate(t *testing.T) {
+	const interval = 2 * time.Millisecond
+	for name, test := range map[string]struct {
+		starts []time.Duration
+		warm   bool
+	}{
+		"killed":                       {starts: []time.Duration{100 * time.Millisecond}},
+		"killed twice within a second": {starts: []time.Duration{100 * time.Millisecond, 500 * time.Millisecond}},
+		"killed late in the second":    {starts: []time.Duration{950 * time.Millisecond}},
+		"beside a warm target":         {starts: []time.Duration{100 * time.Millisecond}, warm: true},
+		"killed each half of a second": {starts: []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			newProcess := func() *Gate {
+				g := New(Settings{QueueShare: 1, DedupWindow: time.Second, StartedAt: now})
+				g.SetColdStart(19, 3*time.Second)
+				report := Report{Instance: "i-1", Service: "s", Slots: 18, Sequence: 1, StartedMillis: 1000, ColdRemaining: start.Add(4 * time.Second).Sub(now)}
+				if test.warm {
+					report.ColdRemaining = 0
+				}
+				g.ApplyReport(report, now)
+				return g
+			}
+			g := newProcess()
+			g.settings.StartedAt = time.Time{} // the first one has run for long
+			arrivals := window{span: time.Second}
+			for i := 0; now.Before(start.Add(3900 * time.Millisecond)); i++ {
+				now = now.Add(interval)
+				if len(test.starts) > 0 && now.Sub(start) >= test.starts[0] {
+					g, test.starts = newProcess(), test.starts[1:]
+				}
+				switch d := g.Admit(newRequest(fmt.Sprint(i), now), now); {
+				case d.Admitted():
+					arrivals.add(now)
+					g.Done(newRequest("", now), time.Millisecond, false, now)
+				case test.warm:
+					t.Fatalf("refused %q, waits: %t, %v after the start, at a warm target", d.Refused, d.Waiter != nil, now.Sub(start))
+				case d.Waiter != nil:
+					g.Cancel(d.Waiter)
+				}
+				if got := arrivals.count(now); got > 19 && !test.warm {
+					t.Fatalf("%d requests within a second until %v, want at most 19", got, now.Sub(start))
+				}
+			}
+			if arrivals.count(now) == 0 {
+				t.Error("the target gets no requests any more")
+			}
+		})
+	}
+}
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -19,6 +19,9 @@
 	// SlackFrom is when the whole retry budget becomes available. An earlier process of the
 	// node may have used most of it until then.
 	SlackFrom time.Time
+	// StartedAt is when the process of the node started. An earlier process may have sent a
+	// cold target all that it tolerates until then.
+	StartedAt time.Time
 	// DedupWindow is how long the ids of non-idempotent requests are kept after their
 	// end and their deadline to detect duplicates, and those of fenced requests to
 	// refuse them.
--- a/process/gate/queue.go
+++ b/process/gate/queue.go
@@ -93,7 +93,7 @@
 	estimate := time.Duration(float64(ahead+1) * perStart * float64(time.Second))
 	if g.cold(now) {
 		spacing := time.Duration(float64(ahead) / float64(g.coldLimit()) * float64(time.Second))
-		estimate = max(estimate, g.arrivals.timeUntilBelow(now, g.coldLimit())+spacing)
+		estimate = max(estimate, g.coldDelay(now)+spacing)
 	}
 	return max(estimate, g.limiter.delay(ahead, now))
 }
