DRAIN: a departure was never stored again over an object that was gone

Cause: the store answers 404 to a PUT over an object that it lost in the drill. The writer of the departures had no case for that and repeated the same PUT until its process ended. Our stand-in created the object instead, so no test and no soak showed it.

A put over an object that does not exist is a conflict with version zero, over which both writers of gateway/ create the object.

--- a/gateway/departurestore.go
+++ b/gateway/departurestore.go
@@ -45,6 +45,7 @@
 	}
 	k.endLoading(true)
 	backoff.Reset()
+	writes := k.node.newRepeatedWrite("departures", "departures_not_written")
 	for {
 		select {
 		case <-ctx.Done():
@@ -53,12 +54,13 @@
 		}
 		written, err := k.write(ctx, version)
 		if err != nil {
-			k.node.events.log(journal.Change, "departures_not_written", "dependency", "store", "err", err)
+			writes.failed(err)
 			k.requestWrite()
 			wait.For(ctx, backoff.Next(rng))
 			continue
 		}
 		backoff.Reset()
+		writes.succeeded()
 		version = written
 	}
 }
@@ -109,7 +111,8 @@
 
 // write writes the departures over a version of the object and returns the new version.
 // Over another version, which a late write of an earlier process or a store that went
-// back left, it writes once more after it has added what that holds.
+// back left, it writes once more after it has added what that holds. If the store has no
+// object any more, it creates one.
 func (k *departureKeeper) write(ctx context.Context, version uint64) (uint64, error) {
 	list, written, err := k.put(ctx, version)
 	var conflict *store.ConflictError
--- a/gateway/discovery.go
+++ b/gateway/discovery.go
@@ -124,6 +124,7 @@
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	backoff := store.Backoff{Base: storeBackoffBase, Cap: storeBackoffCap}
+	writes := s.node.newRepeatedWrite("node-record", "node_record_failed")
 	for {
 		select {
 		case <-ctx.Done():
@@ -133,11 +134,12 @@
 		case <-s.recordChanged:
 		}
 		if err := s.writeRecord(ctx); err != nil {
-			s.node.events.log(journal.Change, "node_record_failed", "dependency", "store", "err", err)
+			writes.failed(err)
 			wait.For(ctx, backoff.Next(s.rng))
 			s.requestRecordWrite()
 			continue
 		}
+		writes.succeeded()
 		s.node.events.log(journal.Change, "node_record_written", "crashes", len(s.ownRecord().Crashes))
 	}
 }
--- a/process/platform/dialect.go
+++ b/process/platform/dialect.go
@@ -99,8 +99,8 @@
 }
 
 // Dialect translates the calls of one variant of the object API to HTTP. The errors
-// of Decode are ErrNotFound, ErrCompacted, *ConflictError, *RateLimitedError and
-// those that NewCallError returns. The versions in calls and results are revisions of
+// of Decode are ErrNotFound, ErrCompacted, *ConflictError, *RateLimitedError and those that
+// NewCallError returns. A put over an object that does not exist is a conflict. The versions in calls and results are revisions of
 // the store: the client adds and removes the era.
 type Dialect interface {
 	// Era returns the era of the store that a response states. It is zero if the
@@ -193,6 +193,8 @@
 	switch {
 	case response.Status == http.StatusOK && (response.BodyErr == nil || c.Op.writes()):
 		return decodeSuccess(c, response, version, versionErr)
+	case response.Status == http.StatusNotFound && c.Op == OpPut:
+		return Result{}, &ConflictError{} // the object to replace does not exist
 	case response.Status == http.StatusNotFound:
 		return Result{}, ErrNotFound
 	case response.Status == http.StatusTooManyRequests:
--- a/process/platform/doc.go
+++ b/process/platform/doc.go
@@ -19,8 +19,9 @@
 //   - ErrUnknownOutcome: the write may have taken effect. The caller reads the
 //     object and checks whether it contains the caller's own change.
 //   - ConflictError: the write had no effect. The error contains the current
-//     version and value of the object.
-//   - ErrNotFound: the object doesn't exist.
+//     version and value of the object. The version is zero if the object to replace
+//     doesn't exist.
+//   - ErrNotFound: the object to read or delete doesn't exist.
 //
 // Reads have no effect, so a failed read is always ErrUnavailable, except for
 // ErrNotFound and, from a watch, ErrCompacted.
