Member object: a write over an object that was removed was repeated for ever

A node that was dead for long loses its member object to another node. When it is back, it writes over the version that it knew, and after the conflict it kept that version, since the conflict names none: the write was repeated until the process ended, and nodes that start later did not find the node in the store.

The version of a conflict is taken over also if it is zero, so the next write creates the object.

TestMemberObjectThatWasRemovedIsWrittenAgain failed before (not stored after 5 s) and passes in 0.1 s.

--- a/node/members.go
+++ b/node/members.go
@@ -112,13 +112,13 @@
 	}
 	written, err := d.client.Put(ctx, memberPrefix+desired.Node, value, known)
 	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		written = conflict.Version
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if written > 0 {
+	switch {
+	case err == nil:
 		d.writtenVersion = written
+	case errors.As(err, &conflict):
+		d.writtenVersion = conflict.Version // zero if the object is gone, so the next write creates it
 	}
 	return err
 }
