DRAIN: a departure was acknowledged that only processes held in memory

Cause: two peers that held the departure were enough for the acknowledgement. That was chosen, and wrong: all processes may end the moment after. On the way a second half showed: a process that starts in an outage does not know a departure that the store holds either, and one late report made the target one to use.

Change: a departure is acknowledged when the store holds it. In an outage the target gets 503, asks again, and gets no requests meanwhile. A process that can't read the departures of earlier ones uses its target only after a second report of the same process: a process that left sends none.

Tests: TestDepartureThatOnlyPeersHoldIsNotAcknowledged (answered 200 before) and TestLateReportIsNotTrustedWhileDeparturesAreUnknown (the target was in use again) failed before on.

--- a/gateway/departures.go
+++ b/gateway/departures.go
@@ -17,22 +17,17 @@
 const kindDepartures wire.Kind = 63
 
 const (
-	// storePreference is how long an acknowledgement waits for the store although enough
-	// peers hold the departure. What only peers hold is lost if all nodes stop at once.
-	storePreference = 300 * time.Millisecond
 	// keepTimeout bounds the wait of an acknowledgement. A target ignores one that takes
 	// longer than a second.
 	keepTimeout = 800 * time.Millisecond
-	// departureHolders is the number of peers that are sent a departure, and
-	// minDepartureHolders how many of them must confirm that they hold it.
-	departureHolders    = 6
-	minDepartureHolders = 2
+	// departureHolders is the number of peers that are sent a departure.
+	departureHolders = 6
 	// departureResendInterval is the interval of sending departures to peers while an
 	// acknowledgement waits, since datagrams can get lost.
 	departureResendInterval = 100 * time.Millisecond
-	// departureLoadTimeout is how long a node that has started does without the first
-	// report of its target while it can't read its departures from the store. By then
-	// the peers that hold some have sent them.
+	// departureLoadTimeout is how long a node that has started does without its target
+	// while it can't read its departures from the store. By then the peers that hold some
+	// have sent them.
 	departureLoadTimeout = 1500 * time.Millisecond
 	// maxNoticeDepartures bounds the departures of a notice, which are the latest ones.
 	maxNoticeDepartures = 6
@@ -54,15 +49,28 @@
 	return &departureNotice{Node: node, Sender: sender, Departures: list[max(0, len(list)-maxNoticeDepartures):]}
 }
 
-// departureKeeper makes the departures of the local target outlast this process: in the
-// store, and at some peers while the store can't be reached. It also holds those of other
-// nodes. It is safe for concurrent use.
+// departureKnowledge is what a process knows of the departures that earlier processes of its
+// node recorded.
+type departureKnowledge int32
+
+const (
+	// departuresLoading means that they are being read from the store.
+	departuresLoading departureKnowledge = iota
+	// departuresUnknown means that they could not be read within departureLoadTimeout. Peers
+	// may have sent some.
+	departuresUnknown
+	// departuresKnown means that they have been read, or that there can be none.
+	departuresKnown
+)
+
+// departureKeeper makes the departures of the local target outlast this process. The store
+// holds them for any process to come, and some peers for one that starts while the store
+// can't be reached. It also holds those of other nodes. It is safe for concurrent use.
 type departureKeeper struct {
 	node *Node
 	held *departure.Holder
-	// loaded is set when earlier departures have been read from the store, or after
-	// departureLoadTimeout.
-	loaded atomic.Bool
+	// knowledge is a departureKnowledge.
+	knowledge atomic.Int32
 	// changed receives a value when the object in the store has to be written.
 	changed chan struct{}
 
@@ -75,8 +83,11 @@
 	progress chan struct{}
 }
 
-// errNotKept means that neither the store nor enough peers hold a departure.
-var errNotKept = errors.New("neither the store nor enough peers have confirmed the departure")
+// errNotKept means that the store does not hold a departure.
+var errNotKept = errors.New("the store has not confirmed the departure")
+
+// known returns what this process knows of earlier departures.
+func (k *departureKeeper) known() departureKnowledge { return departureKnowledge(k.knowledge.Load()) }
 
 func newDepartureKeeper(n *Node) *departureKeeper {
 	return &departureKeeper{
@@ -93,8 +104,8 @@
 	}
 }
 
-// keep waits until a departure outlasts this process: until the store holds it, or peers do
-// and the store does not answer soon. It fails after keepTimeout. The departure is written
+// keep waits until the store holds a departure, since what processes hold in memory is lost if
+// all end at once. Peers get it as well. It fails after keepTimeout. The departure is written
 // later in that case.
 func (k *departureKeeper) keep(ctx context.Context, d departure.Departure) error {
 	if stored, _, _ := k.holders(d); stored {
@@ -104,23 +115,22 @@
 	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
 	defer cancel()
 	k.requestWrite()
-	sent := k.sendToPeers()
+	k.sendToPeers()
 	resend := time.NewTicker(departureResendInterval)
 	defer resend.Stop()
 	for {
 		stored, peers, progress := k.holders(d)
-		took := time.Since(started)
-		if stored || took >= storePreference && sent > 0 && peers >= min(minDepartureHolders, sent) {
-			k.node.events.departureKept(d, stored, peers, took)
+		if stored {
+			k.node.events.departureKept(d, peers, time.Since(started))
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			k.node.events.departureNotKept(d, peers, took)
+			k.node.events.departureNotKept(d, peers, time.Since(started))
 			return errNotKept
 		case <-progress:
 		case <-resend.C:
-			sent = max(sent, k.sendToPeers())
+			k.sendToPeers()
 		}
 	}
 }
@@ -138,9 +148,8 @@
 	return k.stored.Includes(d.Instance, d.StartedMillis), peers, k.progress
 }
 
-// sendToPeers sends the departures of the local target to some peers and returns to how
-// many.
-func (k *departureKeeper) sendToPeers() int {
+// sendToPeers sends the departures of the local target to some peers.
+func (k *departureKeeper) sendToPeers() {
 	rng := k.node.rngs.Get().(*rand.Rand)
 	defer k.node.rngs.Put(rng)
 	addresses := k.node.fleet.RandomHeartbeatPeers(departureHolders, rng, time.Now())
@@ -149,7 +158,6 @@
 	for _, address := range addresses {
 		k.node.peers.write(address, notice)
 	}
-	return len(addresses)
 }
 
 // receive handles a notice that came from an address.
--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -76,7 +76,7 @@
 
 // A node acknowledged that its target leaves, and was started again. A report that the
 // target had sent before then arrived late, and the target got requests until it exited. The
-// departure must outlast the node, also while the store is down.
+// departure must outlast the node, also while the store is down and it is not acknowledged.
 func TestTargetThatLeftIsNotUsedAfterARestartOfItsNode(t *testing.T) {
 	leave := map[string]func(*testing.T, *silentTarget) int{
 		"deregistered": func(t *testing.T, s *silentTarget) int { return s.deregister(t) },
@@ -91,8 +91,12 @@
 				f.addSilentTarget()
 				f.settled(1)
 				f.store.SetFaults(standin.Faults{Down: storeDown})
-				if got := leave(t, leaver); got != http.StatusOK {
-					t.Fatalf("the target that leaves is answered %d", got)
+				want := http.StatusOK
+				if storeDown {
+					want = http.StatusServiceUnavailable
+				}
+				if got := leave(t, leaver); got != want {
+					t.Fatalf("the target that leaves is answered %d, want %d", got, want)
 				}
 				f.restart(leaver.node)
 				eventually(t, "the node serves again", func() bool {
@@ -106,11 +110,13 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 				if late := len(leaver.Runs()) - before; late > 0 {
-					t.Errorf("%d requests reached the target after its departure was acknowledged", late)
+					t.Errorf("%d requests reached the target after its departure", late)
 				}
 				leaver.started = time.Now().UnixMilli() + 1
-				leaver.report(t, "ready", 1)
+				sequence := 0
 				eventually(t, "a later process of the target is used", func() bool {
+					sequence++
+					leaver.report(t, "ready", sequence)
 					return leaver.node.call(t, http.MethodGet, "/s/1", "again", "").status == http.StatusOK && len(leaver.Runs()) > before
 				})
 			})
@@ -138,10 +144,21 @@
 
 // A node that reaches neither the store nor a peer can't promise anything that outlasts it, so
 // it must not acknowledge a departure. The target must get no more requests all the same.
-func TestDepartureThatOneProcessAloneKnowsIsNotAcknowledged(t *testing.T) {
+func TestDepartureThatOneProcessAloneKnowsIsNotAcknowledged(t *testing.T) { leaveInAnOutage(t, 1) }
+
+// What processes hold in memory is lost when all end at once, but a departure that only peers held
+// was acknowledged.
+func TestDepartureThatOnlyPeersHoldIsNotAcknowledged(t *testing.T) { leaveInAnOutage(t, 3) }
+
+// leaveInAnOutage lets a target of a fleet leave while the store is down, and checks the response
+// then and after the outage.
+func leaveInAnOutage(t *testing.T, nodes int) {
 	f := newTestFleet(t)
 	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
 	leaver := f.addSilentTarget()
+	for len(f.nodes) < nodes {
+		f.addSilentTarget()
+	}
 	f.settled(1)
 	f.store.SetFaults(standin.Faults{Down: true})
 	if got := leaver.deregister(t); got != http.StatusServiceUnavailable {
@@ -189,3 +206,33 @@
 	f.restart(n)
 	eventually(t, "the departures are read", func() bool { return n.localTarget.departures().Includes("i-0", 5) })
 }
+
+// All nodes stopped after an acknowledged departure and started in an outage of the store, so
+// none could know the departure. A late report made the target one to use again. Only a second
+// report shows that the process still runs.
+func TestLateReportIsNotTrustedWhileDeparturesAreUnknown(t *testing.T) {
+	f := newTestFleet(t)
+	f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+	leaver := f.addSilentTarget()
+	running := f.addSilentTarget()
+	f.settled(1)
+	if got := leaver.deregister(t); got != http.StatusOK {
+		t.Fatalf("answered %d", got)
+	}
+	f.store.SetFaults(standin.Faults{Down: true})
+	f.killAll()
+	leaver.report(t, "ready", 2)
+	for sequence := 2; sequence < 4; sequence++ {
+		running.report(t, "ready", sequence)
+	}
+	eventually(t, "the target that runs is in use", func() bool { return running.node.localTarget.state(time.Now()).Accepting })
+	time.Sleep(departureLoadTimeout)
+	if leaver.node.localTarget.state(time.Now()).Accepting {
+		t.Error("the target that left is in use again")
+	}
+	f.store.SetFaults(standin.Faults{})
+	eventually(t, "the departure is known", func() bool { return leaver.node.localTarget.departures().Includes(leaver.instance, leaver.started) })
+	if leaver.node.localTarget.state(time.Now()).Accepting {
+		t.Error("the target that left is in use again after the outage")
+	}
+}
--- a/gateway/departurestore.go
+++ b/gateway/departurestore.go
@@ -15,8 +15,13 @@
 	store "verbenatrestle/process/platform"
 )
 
-// sourceStore is the source of departures that come from the store.
-const sourceStore = "store"
+const (
+	// sourceStore is the source of departures that come from the store.
+	sourceStore = "store"
+	// departureReadJitter spreads the reads of departures after an outage in which nodes
+	// have started, for each node of the fleet: at 1,300 nodes a thousand a second.
+	departureReadJitter = time.Millisecond
+)
 
 // departureObject is the object in the store with the departures beside a node.
 type departureObject struct {
@@ -38,8 +43,8 @@
 		}
 		k.node.events.log(journal.Change, "departures_not_read", "dependency", "store", "err", err)
 		delay := backoff.Next(rng)
-		if k.loaded.Load() { // reports no longer wait, and all nodes may have started in the outage
-			delay += k.node.store.rewriteJitter()
+		if k.known() == departuresUnknown { // all nodes may have started in the outage
+			delay += rand.N(departureReadJitter * time.Duration(k.node.fleet.KnownNodes()))
 		}
 		wait.For(ctx, delay)
 	}
@@ -98,12 +103,11 @@
 func (k *departureKeeper) storeWentBack() { k.markStored(nil) }
 
 // endLoading applies the reports of the target that waited for the departures. Read is set
-// if these have been read from the store.
+// if these have been read from the store or there can be none.
 func (k *departureKeeper) endLoading(read bool) {
-	if k.loaded.Swap(true) {
-		return
-	}
-	if !read {
+	if read {
+		k.knowledge.Store(int32(departuresKnown))
+	} else if k.knowledge.CompareAndSwap(int32(departuresLoading), int32(departuresUnknown)) {
 		k.node.events.log(journal.Change, "departures_unknown", "waited_ms", departureLoadTimeout.Milliseconds())
 	}
 	k.node.localTarget.applyWaitingReport()
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -88,13 +88,13 @@
 		"watchers", role.Watchers, "nodes", nodes)
 }
 
-// departureKept logs that a departure of the local target outlasts this process.
-func (e *eventLog) departureKept(d departure.Departure, stored bool, peers int, took time.Duration) {
-	e.journal.Log(journal.Change, "departure_kept", "instance", d.Instance, "born", d.StartedMillis, "stored", stored, "peers", peers, "took_ms", took.Milliseconds())
+// departureKept logs that the store holds a departure of the local target.
+func (e *eventLog) departureKept(d departure.Departure, peers int, took time.Duration) {
+	e.journal.Log(journal.Change, "departure_kept", "instance", d.Instance, "born", d.StartedMillis, "peers", peers, "took_ms", took.Milliseconds())
 }
 
-// departureNotKept logs and counts a departure that was not acknowledged, since this process
-// alone knows it.
+// departureNotKept logs and counts a departure that was not acknowledged, since the store
+// does not hold it.
 func (e *eventLog) departureNotKept(d departure.Departure, peers int, took time.Duration) {
 	e.metrics.departuresNotKept.Inc(1)
 	e.journal.Log(journal.Change, "departure_not_kept", "instance", d.Instance, "born", d.StartedMillis, "peers", peers, "took_ms", took.Milliseconds())
--- a/gateway/local_target.go
+++ b/gateway/local_target.go
@@ -61,8 +61,10 @@
 	// Zero means none.
 	namedLimit float64
 	// waitingReport is the latest report that arrived before the departures of earlier
-	// processes of the target were known, or nil.
-	waitingReport *gate.Report
+	// processes of the target were known, or nil. waitingReportConfirmed is set if the same
+	// process had sent an earlier one.
+	waitingReport          *gate.Report
+	waitingReportConfirmed bool
 }
 
 // newLocalTarget returns a localTarget whose target is unknown until it
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(n.closeListeners)
-	n.departures.loaded.Store(true)
+	n.departures.knowledge.Store(int32(departuresKnown))
 	var reading, reporting sync.WaitGroup
 	done := make(chan struct{})
 	reporting.Go(func() {
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -10,36 +10,53 @@
 
 // applyReport applies a status report of the target, unless a newer one is known. A report
 // that arrives before the departures of earlier processes are known waits for them, since
-// its process may be one of those.
+// its process may be one of those. If they can't be read, a second report of the same process
+// shows that it still runs: a process that has left sends none, but one that it sent before
+// may arrive late.
 func (t *localTarget) applyReport(report gate.Report) {
+	if t.node.departures.known() == departuresKnown || t.hasTarget() {
+		t.applyTrustedReport(report)
+		return
+	}
 	t.mu.Lock()
-	waits := !t.node.departures.loaded.Load()
-	if waits && (t.waitingReport == nil || report.Supersedes(t.waitingReport)) {
+	if earlier := t.waitingReport; earlier == nil || report.Supersedes(earlier) {
+		t.waitingReportConfirmed = earlier != nil && sameProcess(&report, earlier)
 		t.waitingReport = &report
 	}
-	if waits && report.Draining {
+	if report.Draining {
 		t.gate.Deregister(report.Instance, report.StartedMillis, time.Now())
 	}
 	t.mu.Unlock()
-	if !waits {
-		t.applyLoadedReport(report)
-	}
+	t.applyWaitingReport()
 }
 
-// applyWaitingReport applies the report that waited for the departures of earlier
-// processes.
+// hasTarget reports whether a report has been applied. A process of the target that started later
+// than that one has not left before this process started.
+func (t *localTarget) hasTarget() bool { return t.state(time.Now()).Instance != "" }
+
+// sameProcess reports whether two reports come from one process of the target.
+func sameProcess(a, b *gate.Report) bool {
+	return a.Instance == b.Instance && a.StartedMillis == b.StartedMillis
+}
+
+// applyWaitingReport applies the report that waits for the departures of earlier processes, if
+// what is known of them now allows that.
 func (t *localTarget) applyWaitingReport() {
+	knowledge := t.node.departures.known()
 	t.mu.Lock()
 	report := t.waitingReport
-	t.waitingReport = nil
-	t.mu.Unlock()
-	if report != nil {
-		t.applyLoadedReport(*report)
+	if report == nil || knowledge == departuresLoading || knowledge == departuresUnknown && !t.waitingReportConfirmed {
+		t.mu.Unlock()
+		return
 	}
+	t.waitingReport, t.waitingReportConfirmed = nil, false
+	t.mu.Unlock()
+	t.applyTrustedReport(*report)
 }
 
-// applyLoadedReport applies a report once the departures of earlier processes are known.
-func (t *localTarget) applyLoadedReport(report gate.Report) {
+// applyTrustedReport applies a report that need not wait for the departures of earlier
+// processes.
+func (t *localTarget) applyTrustedReport(report gate.Report) {
 	now := time.Now()
 	t.mu.Lock()
 	before, departures := t.gate.State(now), t.gate.Departures()
