LOST: a request behind a response that closes the connection was passed on

Cause: the writer told the reader to stop by a read deadline in the past, but the writer and the reader also set that deadline for the idle timeout, so the reader read on. A request that had begun to arrive in that moment was passed on as well.

Change: one lock decides whether a request begins before the response that announces the close, or never. What comes behind such a response is discarded before the connection is closed, so that no reset takes the response away.

--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,9 +52,7 @@
 	recorder      *headRecorder
 	reader        *bufio.Reader
 	responses     chan *pendingResponse
-	// pending counts the requests that have begun to arrive and whose responses
-	// are not yet written.
-	pending atomic.Int32
+	lifecycle     lifecycle
 	// ctx is the context of all handlers of the connection.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -72,6 +69,7 @@
 		recorder:      recorder,
 		reader:        bufio.NewReaderSize(recorder, readBufferSize),
 		responses:     make(chan *pendingResponse, maxPipelined),
+		lifecycle:     lifecycle{conn: c},
 		ctx:           ctx,
 		cancel:        cancel,
 	}
@@ -95,14 +93,15 @@
 	close(c.responses)
 	<-written
 	c.cancel()
-	if errors.Is(err, errRejected) {
+	if errors.Is(err, errRejected) || errors.Is(err, errClosing) {
 		c.linger()
 	}
 	_ = c.conn.Close() // the responses are written, so the error doesn't matter
 }
 
-// linger reads and discards more bytes after a rejection. Closing a connection
-// with unread bytes resets it, and the caller might then lose the response.
+// linger reads and discards more bytes after a rejection, or after a response that
+// announced the close. Closing a connection with unread bytes resets it, and the caller
+// might then lose the response.
 func (c *serverConn) linger() {
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // fails only if the connection is already closed
@@ -121,6 +120,9 @@
 // too large or too slow, or whose body finds no memory.
 var errRejected = errors.New("request rejected")
 
+// errClosing ends the reading of a connection that the server closes.
+var errClosing = errors.New("connection closes")
+
 // readNext reads one request and starts its handler. It returns the channel that
 // is closed when the response to this request is written. If the caller has
 // disconnected, it cancels the context of the connection's handlers.
@@ -129,9 +131,11 @@
 		c.cancel()
 		return nil, err
 	}
+	if !c.lifecycle.begin() {
+		return nil, errClosing
+	}
 	arrivedAt := time.Now()
 	limits := c.server.Limits()
-	c.pending.Add(1)
 	pending := &pendingResponse{written: make(chan struct{}), response: make(chan *Response, 1)}
 	_ = c.conn.SetReadDeadline(arrivedAt.Add(limits.HeaderTimeout)) // the read below fails on a closed connection
 	request, rejection, err := c.read(limits, precedingAnswered)
@@ -142,7 +146,7 @@
 		return nil, errRejected
 	}
 	if err != nil {
-		c.pending.Add(-1)
+		c.lifecycle.end(limits.IdleTimeout)
 		c.cancel()
 		return nil, err
 	}
@@ -190,18 +194,18 @@
 // applies only while no request is pending.
 func (c *serverConn) awaitFirstByte() error {
 	for {
-		if c.pending.Load() == 0 {
-			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout)) // the peek below fails on a closed connection
-		}
+		c.lifecycle.awaitRequest(c.server.Limits().IdleTimeout)
 		c.limitedReader.N = math.MaxInt64
 		_, err := c.reader.Peek(1)
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.pending.Load() > 0 {
-			_ = c.conn.SetReadDeadline(time.Time{})
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.lifecycle.ignoreIdleTimeout() {
 			continue
 		}
+		if c.lifecycle.isClosing() {
+			return errClosing
+		}
 		return err
 	}
 }
@@ -300,11 +304,7 @@
 }
 
 // closeIfIdle makes serve close the connection if no request is pending.
-func (c *serverConn) closeIfIdle() {
-	if c.pending.Load() == 0 {
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is already closed
-	}
-}
+func (c *serverConn) closeIfIdle() { c.lifecycle.closeAfterLast(0) }
 
 // abort closes the connection without waiting for pending requests, and cancels
 // the context of their handlers.
--- a/connection/pipeline/server.go
+++ b/connection/pipeline/server.go
@@ -110,7 +110,7 @@
 	defer s.mu.Unlock()
 	total := 0
 	for c := range s.conns {
-		total += int(c.pending.Load())
+		total += c.lifecycle.pendingRequests()
 	}
 	return total
 }
--- a/connection/pipeline/server_test.go
+++ b/connection/pipeline/server_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -223,6 +225,55 @@
 	}
 }
 
+// During a drain a request was read behind the response that announced the close, and passed on. Its
+// response was lost, since the caller had closed the connection. Such a request must either
+// come before that response and be answered, or not be read. The response must be whole although
+// the request behind it is not read.
+func TestRequestBehindAClosingResponseIsNotHandled(t *testing.T) {
+	const rounds, work = 400, 2 * time.Millisecond
+	var mu sync.Mutex
+	handled := make(map[string]bool)
+	s, address := serve(t, testLimits, func(ctx context.Context, r *Request) *Response {
+		mu.Lock()
+		handled[r.Path] = true
+		mu.Unlock()
+		time.Sleep(work)
+		return echo(ctx, r)
+	})
+	s.Drain()
+	answered := make(map[string]bool)
+	closedFirst := 0
+	for i := range rounds {
+		c, reader := dial(t, address)
+		first, second := fmt.Sprintf("/first-%d", i), fmt.Sprintf("/second-%d", i)
+		_, _ = io.WriteString(c, "GET "+first+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(work/2 + rand.N(work))
+		_, _ = io.WriteString(c, "GET "+second+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, body := read(t, reader)
+		if body != first+":" {
+			t.Fatalf("the first response is %q", body)
+		}
+		if response.Close {
+			closedFirst++
+		} else if response, body = read(t, reader); body == second+":" && response.Close {
+			answered[second] = true
+		}
+		if _, err := reader.ReadByte(); err == nil {
+			t.Fatal("more follows a response that closes the connection")
+		}
+		_ = c.Close()
+	}
+	s.Close()
+	for i := range rounds {
+		if second := fmt.Sprintf("/second-%d", i); handled[second] != answered[second] {
+			t.Errorf("%s: handled %t, answered %t", second, handled[second], answered[second])
+		}
+	}
+	if closedFirst == 0 || closedFirst == rounds {
+		t.Errorf("%d of %d first responses announced the close, want some and not all", closedFirst, rounds)
+	}
+}
+
 // handoverListener accepts a connection that it hands over only on request.
 type handoverListener struct {
 	net.Listener
--- a/connection/pipeline/write.go
+++ b/connection/pipeline/write.go
@@ -22,7 +22,7 @@
 			response.OnWritten(err)
 		}
 		close(pending.written)
-		c.markAnswered()
+		c.lifecycle.end(c.server.Limits().IdleTimeout)
 		if err != nil {
 			c.cancel()
 			_ = c.conn.Close() // unblocks the reader; the write error was reported above
@@ -30,18 +30,10 @@
 	}
 }
 
-// markAnswered counts a response as written, and starts the idle timeout if no
-// other request is pending.
-func (c *serverConn) markAnswered() {
-	if c.pending.Add(-1) == 0 {
-		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout)) // the reader fails on a closed connection
-	}
-}
-
 // writeResponse writes one response. The connection is closed after it if it is
 // marked so, or if the server drains and no other request is pending.
 func (c *serverConn) writeResponse(pending *pendingResponse, response *Response) error {
-	closeAfter := pending.closeAfter || (c.server.draining.Load() && c.pending.Load() == 1)
+	closeAfter := pending.closeAfter || c.server.draining.Load() && c.lifecycle.closeAfterLast(1)
 	var head bytes.Buffer
 	writeHead(&head, pending.method, response, closeAfter)
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -52,9 +44,6 @@
 		buffers = append(buffers, response.Body)
 	}
 	_, err := buffers.WriteTo(c.conn)
-	if closeAfter && !pending.closeAfter {
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // makes serve stop reading and close the drained connection
-	}
 	return err
 }
 
