CONFIG: after the loss of all watchers nobody read the store for 2.5 s

Cause: relayed marks of the lost watchers counted for 2.5 s, and standby nodes looked at their role each 0.5 s. The journals of a failing test show it: unreachable after 0.7 to 1.0 s, active after 2.71 s, all nodes current after 2.77 s.

Change: a message of a watcher counts for 1 s, direct or relayed, and a standby node looks at its role when the last one expires. Two further waits of the same sum: new watchers polled together each 1.8 s until their watches began, each of them polls every 0.6 s now; and a node that starts counts as a watcher from its first poll on, which it makes at once, in place of its first call. A test holds the sums below 2 s, and below 4 s for the planned size over slow links.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -230,7 +230,7 @@
 	defer p.statusMu.Unlock()
 	p.sequence++
 	settings := p.node.settings()
-	reachesStore := p.node.store.reachable.Load()
+	reachesStore := p.node.store.mayWatch()
 	state := p.node.localTarget.state(now)
 	config := p.node.config.snapshot()
 	dataCentresOut, outRevision := p.node.config.ordersForPeers(now)
--- a/gateway/store.go
+++ b/gateway/store.go
@@ -41,13 +41,19 @@
 	// maxActiveWatchers is the number of nodes that watch the store for the
 	// fleet. The other nodes learn of changes from them. With three, the loss
 	// of any two at once delays no change. In a fleet of largeFleet nodes or more,
-	// many can fail at once, and it is maxActiveWatchersLarge.
+	// many can fail at once, and it is maxActiveWatchersLarge. If all are lost at once, a
+	// change that is acknowledged right then waits for fleet.WatcherTTL until others take
+	// their place, for the reads of these, and until it has spread. One that is acknowledged
+	// after these reads waits for fleet.MaxPollGap at most until the next ones.
 	maxActiveWatchers      = 3
 	maxActiveWatchersLarge = 5
 	largeFleet             = 96
 	// roleCheckInterval is the interval of checking whether this node is an
 	// active watcher.
 	roleCheckInterval = 500 * time.Millisecond
+	// minRoleCheckInterval is the least time between two checks whether a standby node has
+	// become active.
+	minRoleCheckInterval = 20 * time.Millisecond
 	// roleChecksBeforeWatch is how many checks in a row must find this node
 	// active before it begins to watch. A node that has just started knows few
 	// others, so it may take itself for active.
@@ -109,6 +115,8 @@
 	// reachable is what recordCallResult recorded last. It is false before the
 	// first result.
 	reachable atomic.Bool
+	// polling is set when the polls have begun, and watching while watches run.
+	polling, watching atomic.Bool
 	// outage counts the failed calls since the latest successful one. regained receives a
 	// value when a call succeeds after failed ones.
 	outage   storeOutage
@@ -270,9 +278,15 @@
 	return true
 }
 
+// mayWatch reports whether other nodes may leave the reads of the store to this one: it
+// reaches the store, and its polls have begun.
+func (s *storeSync) mayWatch() bool { return s.reachable.Load() && s.polling.Load() }
+
 // watchRole returns the current role of this node in watching the store.
 func (s *storeSync) watchRole() fleet.StoreWatchRole {
-	return s.node.fleet.StoreWatchRole(s.node.settings().Name, s.reachable.Load(), s.maxWatchers(), time.Now())
+	role := s.node.fleet.StoreWatchRole(s.node.settings().Name, s.mayWatch(), s.maxWatchers(), time.Now())
+	role.AwaitsWatch = role.Active && !s.watching.Load()
+	return role
 }
 
 // maxWatchers returns the number of nodes that watch the store for a fleet of the
@@ -318,10 +332,12 @@
 		}
 		watchCtx, stop := context.WithCancel(ctx)
 		var group sync.WaitGroup
+		s.watching.Store(true)
 		group.Go(func() { s.newWatcher(s.textClient, platform.PrefixConfig, s.applyConfig).Run(watchCtx) })
 		group.Go(func() { s.newWatcher(s.client, platform.PrefixEvacuations, s.applyEvacuations).Run(watchCtx) })
 		for s.shouldWatch() && wait.For(ctx, roleCheckInterval) {
 		}
+		s.watching.Store(false)
 		stop()
 		group.Wait()
 	}
@@ -329,7 +345,7 @@
 
 // shouldWatch reports whether this node reaches the store and is an active
 // watcher.
-func (s *storeSync) shouldWatch() bool { return s.reachable.Load() && s.watchRole().Active }
+func (s *storeSync) shouldWatch() bool { return s.watchRole().Active }
 
 // readConfig reads the configuration and applies it. A missing configuration
 // is no error.
--- a/gateway/storepoll.go
+++ b/gateway/storepoll.go
@@ -19,6 +19,8 @@
 		s.recordCallResult(err)
 	}
 	_, _ = s.waitForReturn(ctx, firstPollDelay+rand.N(firstPollDelay)) // the loop notices the end of the context
+	s.polling.Store(true)
+	s.node.peers.requestBroadcast()
 	for s.waitForNextPoll(ctx) {
 		s.polledAt = time.Now()
 		s.recordCallResult(s.poll(ctx))
@@ -108,9 +110,14 @@
 }
 
 // waitForNextPoll waits until the next poll of this node, which its role decides. It
-// returns false when the context ends.
+// returns false when the context ends. An active watcher begins with a poll: the others leave
+// the reads to it as soon as they know it.
 func (s *storeSync) waitForNextPoll(ctx context.Context) bool {
-	schedule := fleet.NewStorePollSchedule(s.watchRole(), rand.Float64())
+	role := s.watchRole()
+	if s.polledAt.IsZero() && role.Active {
+		return ctx.Err() == nil
+	}
+	schedule := fleet.NewStorePollSchedule(role, rand.Float64())
 	last := s.polledAt
 	for {
 		now := time.Now()
@@ -127,7 +134,7 @@
 			return ctx.Err() == nil
 		}
 		last = now
-		switch regained, err := s.waitForReturn(ctx, min(remaining, roleCheckInterval)); {
+		switch regained, err := s.waitForReturn(ctx, min(remaining, s.nextRoleCheck(role, now))); {
 		case err != nil:
 			return false
 		case regained:
@@ -135,3 +142,13 @@
 		}
 	}
 }
+
+// nextRoleCheck returns the time until the role of this node has to be determined again. A
+// standby node does so at the moment at which it takes the place of watchers that are lost.
+func (s *storeSync) nextRoleCheck(role fleet.StoreWatchRole, now time.Time) time.Duration {
+	if !role.Reaches || role.Active {
+		return roleCheckInterval
+	}
+	activeIn := s.node.fleet.ActiveIn(s.node.settings().Name, s.maxWatchers(), now)
+	return min(max(activeIn, minRoleCheckInterval), roleCheckInterval)
+}
--- a/process/fleet/storepoll.go
+++ b/process/fleet/storepoll.go
@@ -7,7 +7,8 @@
 
 const (
 	// activePollInterval is the interval at which the active watchers together poll the
-	// store. They poll because a watch may not report a change.
+	// store, and each of those whose watches have not begun. They poll because a watch may
+	// not report a change.
 	activePollInterval = 600 * time.Millisecond
 	// probeInterval is the mean interval at which each probing node polls. It does not
 	// depend on the size of the fleet: a change must be in force within two seconds
@@ -33,6 +34,9 @@
 	// shares of the mean interval.
 	minPeriodicShare = 0.75
 	maxPeriodicShare = 1.25
+	// MaxPollGap is the longest time between two polls of an active watcher whose watches
+	// have not begun: maxPeriodicShare of the interval.
+	MaxPollGap = activePollInterval + activePollInterval/4
 )
 
 // pollInterval returns the mean interval of the polls of a node with this role in a fleet
@@ -41,6 +45,8 @@
 // wait at the same moment leave no gap.
 func (r StoreWatchRole) pollInterval(nodes int) (mean time.Duration, periodic bool) {
 	switch {
+	case r.AwaitsWatch:
+		return activePollInterval, true
 	case r.Active:
 		return activePollInterval * time.Duration(r.Watchers), true
 	case r.Probing:
--- a/process/fleet/storewatch.go
+++ b/process/fleet/storewatch.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// markTTL is how long a relayed WatcherMark counts. A node learns of a watcher that
-	// is not among its heartbeat peers by several of them, each once a second.
-	markTTL = 2500 * time.Millisecond
+	// WatcherTTL is how long a message of a node shows that it may watch the store, whether
+	// it arrived here or at a node that relayed its WatcherMark. The loss of all watchers is
+	// noticed after that time. A node that misses the messages of all watchers for longer, as
+	// behind a cut link, reads the store as well, but only the first few that it still
+	// receives do so.
+	WatcherTTL = time.Second
 	// maxRelayedMarks bounds the marks of a status, and maxKeptMarks those that a node
 	// keeps. A status has room for all active watchers of a large fleet, and for more
 	// nodes that do not reach the store than there are probing ones.
@@ -45,6 +48,8 @@
 	Reaches bool
 	// Active is set if the node is one of those that read the store for the fleet.
 	Active bool
+	// AwaitsWatch is set if the node is active, but its watches of the store have not begun.
+	AwaitsWatch bool
 	// Probing is set if the node does not reach the store and is one of those that
 	// try at short intervals whether they do.
 	Probing bool
@@ -68,7 +73,7 @@
 			t.marks[m.Rank] = relayedMark{receivedAt: receivedAt, withdrawn: m.Withdrawn}
 		}
 	}
-	maps.DeleteFunc(t.marks, func(_ uint64, m relayedMark) bool { return now.Sub(m.receivedAt) >= markTTL })
+	maps.DeleteFunc(t.marks, func(_ uint64, m relayedMark) bool { return now.Sub(m.receivedAt) >= WatcherTTL })
 	if excess := len(t.marks) - maxKeptMarks; excess > 0 {
 		ranks := slices.Sorted(maps.Keys(t.marks))
 		for _, rank := range ranks[len(ranks)-excess:] {
@@ -109,14 +114,14 @@
 	ranked := []WatcherMark{{Rank: watchRank(name), Withdrawn: !reachesStore}}
 	direct := map[uint64]bool{ranked[0].Rank: true}
 	for other, p := range t.peers {
-		if !p.StatusOnly && t.reachable(p, now) {
+		if !p.StatusOnly && now.Sub(p.ReceivedAt) < WatcherTTL && t.reachable(p, now) {
 			mark := WatcherMark{Rank: watchRank(other), AgeMillis: int(now.Sub(p.ReceivedAt).Milliseconds()), Withdrawn: !p.Status.ReachesStore}
 			ranked = append(ranked, mark)
 			direct[mark.Rank] = true
 		}
 	}
 	for rank, m := range t.marks {
-		if age := now.Sub(m.receivedAt); age < markTTL && !direct[rank] {
+		if age := now.Sub(m.receivedAt); age < WatcherTTL && !direct[rank] {
 			ranked = append(ranked, WatcherMark{Rank: rank, AgeMillis: int(age.Milliseconds()), Withdrawn: m.withdrawn})
 		}
 	}
@@ -154,6 +159,25 @@
 	}
 }
 
+// ActiveIn returns how long it takes until this node becomes an active watcher if no further
+// message arrives, assumed that it reaches the store. It is zero for an active watcher.
+func (t *Table) ActiveIn(name string, maxWatchers int, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rank := watchRank(name)
+	var ages []int // of the watchers that go before this node, in milliseconds
+	for _, m := range t.rankedMarks(name, true, now) {
+		if m.Rank < rank && !m.Withdrawn {
+			ages = append(ages, m.AgeMillis)
+		}
+	}
+	if len(ages) < maxWatchers {
+		return 0
+	}
+	slices.Sort(ages)
+	return WatcherTTL - time.Duration(ages[maxWatchers-1])*time.Millisecond
+}
+
 // nodeCount returns the number of nodes that are taken to run, this one included:
 // the reachable ones, and the status-only ones, of which nothing newer is known. The
 // caller holds the lock.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,7 +24,7 @@
 go test -race -count=1 -timeout 600s "${skip[@]}" "${packages[@]}"
 [ -z "$spec_package" ] || go test -race -count=1 -timeout 600s "${skip[@]}" "$spec_package" -ginkgo.skip "$spec_text"
 # The fleets of the planned size are simulated without the race detector only.
-go test -count=1 -timeout 600s -run 'TestConfigurationReachesAllNodes|TestLargeConfigurationIsActiveInTime|TestStoreIsReadSoonAfterAnOutage' ./process/fleet
+go test -count=1 -timeout 600s -run 'TestConfigurationReachesAllNodes|TestLargeConfigurationIsActiveInTime|TestStoreIsReadSoonAfterAnOutage|TestLossOfAllWatchersIsNoticed' ./process/fleet
 # Short fault soaks of the programs, the second one with changes of the configuration
 # throughout. `make soak` runs longer ones.
 BIN=$(mktemp -d)
