--- a/connection/pipeline/conn.go
+++ b/connection/pipeline/conn.go
@@ -52,7 +52,8 @@
 	recorder      *headRecorder
 	reader        *bufio.Reader
 	responses     chan *pendingResponse
-	lifecycle     lifecycle
+	// lifecycle decides which requests are still read.
+	lifecycle lifecycle
 	// ctx is the context of all handlers of the connection.
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/connection/pipeline/lifecycle.go
+++ b/connection/pipeline/lifecycle.go
@@ -80,8 +80,9 @@
 	return true
 }
 
-// closeAfterLast makes the reader stop if at most the given number of requests are pending. It
-// reports whether the connection closes.
+// closeAfterLast makes the reader stop if at most the given number of requests are pending: one
+// for the writer of its response, none for an idle connection. It reports whether the connection
+// closes.
 func (l *lifecycle) closeAfterLast(pending int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -84,7 +84,7 @@
 
 // storeRole logs a change of the role of this node in watching the store.
 func (e *eventLog) storeRole(role fleet.StoreWatchRole, nodes int) {
-	e.journal.Log(journal.Change, "store_role", "reaches", role.Reaches, "active", role.Active, "probing", role.Probing,
+	e.journal.Log(journal.Change, "store_role", "reaches", role.Reaches, "active", role.Active, "watching", role.Active && !role.AwaitsWatch, "probing", role.Probing,
 		"watchers", role.Watchers, "nodes", nodes)
 }
 
--- a/process/platform/dialect.go
+++ b/process/platform/dialect.go
@@ -99,9 +99,10 @@
 }
 
 // Dialect translates the calls of one variant of the object API to HTTP. The errors
-// of Decode are ErrNotFound, ErrCompacted, *ConflictError, *RateLimitedError and those that
-// NewCallError returns. A put over an object that does not exist is a conflict. The versions in calls and results are revisions of
-// the store: the client adds and removes the era.
+// of Decode are ErrNotFound, ErrCompacted, *ConflictError, *RateLimitedError and
+// those that NewCallError returns. A put over an object that does not exist is a conflict.
+// The versions in calls and results are revisions of the store: the client adds and removes
+// the era.
 type Dialect interface {
 	// Era returns the era of the store that a response states. It is zero if the
 	// response does not state it. It returns an error if the era can't be read.
