Soak: late reports, pipelined requests, and the loss of all nodes that watch the store

It had no report that arrives after the acknowledgement of a drain, no caller that sends a second request before the first response, and no check of a change while nodes are lost.

- A target that drains makes one more report before, which arrives 0.7 s after the acknowledgement, serves for 4 s, and repeats a report that is not acknowledged.
- Callers send pairs of requests on a connection.

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -104,10 +104,20 @@
 	return nil
 }
 
-// drainTime is the time for which a target continues to serve after its drain was
-// acknowledged. It is longer than the 2 seconds in which nodes may still send
-// requests to it.
-const drainTime = 2500 * time.Millisecond
+const (
+	// drainTime is the time for which a target continues to serve after its drain was
+	// acknowledged. It is longer than the 2 seconds in which nodes may still send
+	// requests to it.
+	drainTime = 4 * time.Second
+	// drainAttempts bounds the reports of a drain that is not acknowledged, and
+	// drainRetryInterval is the time between them.
+	drainAttempts      = 8
+	drainRetryInterval = 500 * time.Millisecond
+	// lateReportDelay is the time from the acknowledgement of a drain to a report that the
+	// target had made before, and lateReportRetryInterval the time between attempts to send it.
+	lateReportDelay         = 700 * time.Millisecond
+	lateReportRetryInterval = 100 * time.Millisecond
+)
 
 // serverCommand runs a target that writes a soak.RunRecord as a line of JSON when
 // a run begins.
@@ -159,13 +169,35 @@
 	reporting, stopReporting := context.WithCancel(ctx)
 	defer stopReporting()
 	target.ReportPeriodically(reporting, address)
-	if err := target.SendReport(address, true); err != nil {
+	late := target.DelayedReport(address)
+	if err := drain(target, address); err != nil {
 		return errors.Wrap(err, "report the drain")
 	}
+	go sendLate(late)
 	time.Sleep(drainTime)
 	return errors.Wrap(target.Deregister(), "leave")
 }
 
+// drain reports that the target drains until a node acknowledges it.
+func drain(target *standin.Target, address string) error {
+	var err error
+	for range drainAttempts {
+		if err = target.SendReport(address, true); err == nil {
+			return nil
+		}
+		time.Sleep(drainRetryInterval)
+	}
+	return err
+}
+
+// sendLate sends a report after lateReportDelay, until it is accepted.
+func sendLate(send func() error) {
+	time.Sleep(lateReportDelay)
+	for send() != nil {
+		time.Sleep(lateReportRetryInterval)
+	}
+}
+
 // proxyCommand runs a proxy. The path of a request to the control address sets its
 // mode.
 func proxyCommand() *soakCommand {
@@ -302,26 +334,33 @@
 
 // checkCommand checks the records of a soak against the invariants.
 func checkCommand() *soakCommand {
-	var dir string
+	var dir, lostNodes string
 	var faultsEndMillis int64
+	var loss soak.WatcherLoss
 	return &soakCommand{
 		name: "judge", synopsis: "check the records of a soak",
 		flags: func(f *flag.FlagSet) {
 			f.StringVar(&dir, "dir", "", "`directory` with told-*, ran-*, node-* and errors files")
 			f.Int64Var(&faultsEndMillis, "calm", 0, "Unix `millisecond` from which on no fault was active")
+			f.Int64Var(&loss.FromMillis, "loss", 0, "Unix `millisecond` of the loss of all nodes that watched the store")
+			f.Int64Var(&loss.UntilMillis, "loss-end", 0, "Unix `millisecond` until which that was the only fault")
+			f.StringVar(&lostNodes, "lost-nodes", "", "`IP:port,...` of the nodes that were lost")
+		},
+		run: func(context.Context) error {
+			loss.Nodes = strings.Split(lostNodes, ",")
+			return checkSoak(dir, faultsEndMillis, loss)
 		},
-		run: func(context.Context) error { return checkSoak(dir, faultsEndMillis) },
 	}
 }
 
 // checkSoak checks the records in a directory and prints the result. It returns an
 // error if invariants are violated.
-func checkSoak(dir string, faultsEndMillis int64) error {
+func checkSoak(dir string, faultsEndMillis int64, loss soak.WatcherLoss) error {
 	callerFiles, _ := filepath.Glob(filepath.Join(dir, "told-*")) // the pattern is well formed
 	runFiles, _ := filepath.Glob(filepath.Join(dir, "ran-*"))
 	logFiles, _ := filepath.Glob(filepath.Join(dir, "node-*"))
 	errorFiles, _ := filepath.Glob(filepath.Join(dir, "errors"))
-	result, err := soak.CheckFiles(callerFiles, runFiles, faultsEndMillis)
+	result, err := soak.CheckFiles(callerFiles, runFiles, faultsEndMillis, loss)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -45,12 +46,7 @@
 			result.addViolation("drain: %s reached %s %d ms after its drain was acknowledged", r.ID, r.Instance, r.StartMillis-r.DrainAckedMillis)
 		}
 	}
-	configSent := make(map[int]int64) // by version, in Unix milliseconds
-	for i := range callers {
-		if sentMillis := callers[i].ConfigSentMillis; sentMillis > 0 {
-			configSent[callers[i].Config] = sentMillis
-		}
-	}
+	configSent := configsSent(callers)
 	known := make(map[string]bool, len(callers))
 	afterFaults, answeredAfterFaults := 0, 0
 	for i := range callers {
@@ -61,7 +57,7 @@
 			result.checkProbe(c, configSent, faultsEndMillis)
 			continue
 		}
-		if c.EndMillis-c.DurationMillis >= faultsEndMillis && !c.Poison && !c.Ambiguous && c.alwaysAllowed() && !c.beyondQuota() {
+		if c.EndMillis-c.DurationMillis >= faultsEndMillis && !c.Poison && !c.Ambiguous && !c.BehindClose && c.alwaysAllowed() && !c.beyondQuota() {
 			afterFaults++
 			if c.Status == c.expectedStatus() {
 				answeredAfterFaults++
@@ -84,6 +80,38 @@
 	return result
 }
 
+// configsSent returns when each version of the configuration was sent, in Unix milliseconds, as
+// far as it was probed.
+func configsSent(callers []CallerRecord) map[int]int64 {
+	sent := make(map[int]int64)
+	for i := range callers {
+		if sentMillis := callers[i].ConfigSentMillis; sentMillis > 0 {
+			sent[callers[i].Config] = sentMillis
+		}
+	}
+	return sent
+}
+
+// WatcherLoss describes the loss of all nodes that watched the store at once, just before a change
+// of the configuration. It was the only fault from FromMillis until UntilMillis, in Unix
+// milliseconds. Zero means that there was none.
+type WatcherLoss struct {
+	FromMillis, UntilMillis int64
+	// Nodes holds the addresses of the lost nodes.
+	Nodes []string
+}
+
+// checkWatcherLoss checks that the change is active in time on the nodes that were not lost.
+func (r *Result) checkWatcherLoss(callers []CallerRecord, loss WatcherLoss) {
+	configSent := configsSent(callers)
+	for i := range callers {
+		c := &callers[i]
+		if c.Config > 0 && c.EndMillis < loss.UntilMillis && !slices.Contains(loss.Nodes, c.Node) {
+			r.checkProbe(c, configSent, loss.FromMillis)
+		}
+	}
+}
+
 const (
 	// minRecoveryRequests is the lowest number of requests after the faults that
 	// can prove a recovery, and minRecoveryShare the lowest share of them that must
@@ -97,6 +125,9 @@
 	if c.NonIdempotent && len(runs) > 1 {
 		r.addViolation("twice: %s ran %d times", c.ID, len(runs))
 	}
+	if c.BehindClose && len(runs) > 0 {
+		r.addViolation("lost: %s ran at %s behind a response that closed its connection", c.ID, runs[0].Instance)
+	}
 	for _, run := range runs {
 		if !c.isSent(run.Request) {
 			r.addViolation("changed: %s ran as %q, but was sent as %q", c.ID, run.Request, c.ExpectedBody)
@@ -185,7 +216,7 @@
 
 // CheckFiles is like CheckRecords, but reads the records from files of JSON
 // lines. It returns an error if a file cannot be read.
-func CheckFiles(callerFiles, runFiles []string, faultsEndMillis int64) (Result, error) {
+func CheckFiles(callerFiles, runFiles []string, faultsEndMillis int64, loss WatcherLoss) (Result, error) {
 	var callers []CallerRecord
 	for _, name := range callerFiles {
 		lines, err := readLines[CallerRecord](name)
@@ -202,5 +233,7 @@
 		}
 		runs = append(runs, lines...)
 	}
-	return CheckRecords(callers, runs, faultsEndMillis), nil
+	result := CheckRecords(callers, runs, faultsEndMillis)
+	result.checkWatcherLoss(callers, loss)
+	return result, nil
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -59,6 +59,8 @@
 	// Ambiguous means that the request has no clear end. ExpectedBody is only the start of the
 	// response then.
 	Ambiguous bool `json:"ambiguous,omitempty"`
+	// BehindClose means that the response before this one on its connection announced the close.
+	BehindClose bool `json:"behind_close,omitempty"`
 	// Failure is the error of a request without a response.
 	Failure string `json:"failure,omitempty"`
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -67,6 +67,8 @@
 		"late among many": {with(func(t *CallerRecord) {
 			t.Status, t.Config, t.RouteVersions, t.AckedMillis, t.EndMillis = 404, 3, 32, 1000, 3001
 		}), nil, "config"},
+		"lost":      {with(func(t *CallerRecord) { t.Status, t.BehindClose = 0, true }), []RunRecord{ran}, "lost"},
+		"not read":  {with(func(t *CallerRecord) { t.Status, t.BehindClose = 0, true }), nil, ""},
 		"no answer": {with(func(t *CallerRecord) { t.Status = 0 }), []RunRecord{ran}, ""},
 	} {
 		callers, runs := recoveryRecords()
@@ -76,6 +78,21 @@
 			t.Errorf("%s: %q", name, got)
 		}
 	}
+	for name, test := range map[string]struct {
+		sentMillis int64
+		node, want string
+	}{
+		"late on a node that ran on": {3101, "n", "config"}, "in time": {3099, "n", ""}, "on a lost node": {3101, "lost", ""}, "after it": {6001, "n", ""},
+	} {
+		late := with(func(t *CallerRecord) {
+			t.Status, t.Config, t.AckedMillis, t.Node, t.EndMillis, t.DurationMillis = 404, 3, 1100, test.node, test.sentMillis+10, 10
+		})
+		var result Result
+		result.checkWatcherLoss([]CallerRecord{late}, WatcherLoss{FromMillis: 1000, UntilMillis: 6000, Nodes: []string{"lost"}})
+		if got := strings.Join(result.Violations, "; "); test.want == "" && got != "" || !strings.Contains(got, test.want) {
+			t.Errorf("after the loss of the watchers, %s: %q", name, got)
+		}
+	}
 	// Later configurations have the route too, so a node that refuses it has one from before, unless
 	// one without the route has been sent.
 	for version, want := range map[int]string{4: "config", 34: "config", 35: ""} {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -20,6 +20,8 @@
 CALM=8 # seconds without faults at the end of a run
 CALM_CHANGES=4 # configurations in the first of these seconds, one each
 SETTLING=3 # seconds without changes at the end of these seconds
+SETTLED=5 # seconds without faults before the nodes that watch the store are killed
+LOSS=3 # seconds until they are started anew
 COLD=3s # time for which a target is cold after its start
 SURGE_RATE=250 # requests per second to the service of a cold target whose node is killed
 
@@ -78,6 +80,17 @@
   done
 }
 
+watches() { # I: whether node I watches the store for the others, by its log
+  grep -E '"event":"(start|store_role)"' "$dir/node-$1" | tail -1 | grep -q '"active":true'
+}
+kill_watchers() { # end all nodes that watch the store at once, just before a change, and start them anew after LOSS
+  local i killed=()
+  for ((i = 0; i < NODES; i++)); do watches "$i" && killed+=("$i"); done
+  for i in "${killed[@]}"; do end "node$i" KILL; lost_nodes+=",$(ip "$i"):7002"; done
+  change $((version + 1)); sleep "$LOSS"; loss_end=$(date +%s%3N)
+  for i in "${killed[@]}"; do wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i"; done
+  revive_targets; sleep 1
+}
 surges=0
 kill_beside_cold() { # I: kill the node beside a target that has just started, under a surge of requests to its service
   surges=$((surges + 1))
@@ -111,6 +124,11 @@
     reload) sed -i "s/repeat_slack: .*, repeat_w/repeat_slack: $((RANDOM % 50 + 30)), repeat_w/" "$dir/settings-$i.yaml"; [ $((RANDOM % 2)) = 0 ] && end "node$i" HUP ;;
     crash_target) end "target$i" KILL; wait "${pid_of[target$i]}" 2>/dev/null; sleep 0.5; start_target "$i" ;;
     leave_target) end "target$i" TERM; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" ;;
+    leave_kill_all) # a target leaves, and all nodes are killed after the acknowledgement, in an outage of the store or not
+      [ $((RANDOM % 2)) = 0 ] && control POST "http://$store_control/" "{\"$2\":true}"
+      end "target$i"; sleep 0.5
+      for ((i = 0; i < NODES; i++)); do end "node$i" KILL; done
+      for ((i = 0; i < NODES; i++)); do wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i"; done ;;
     config) change $((version + RANDOM % 3 + 1)) ;;
     out) operator -out "z$((RANDOM % 3))" ;;
   esac
@@ -130,7 +148,7 @@
   dir=$OUT/$seed; rm -rf "$dir"; mkdir -p "$dir"
   store=$(ip 200):7100; store_control=$(ip 200):7101
   begin store "$dir/store" "$BIN/vtstandin" store -listen "$store" -control "$store_control"
-  local i nodes='' node_services='' kinds=(hop store store_all sever_all go_back kill_node kill_all kill_beside_cold stop_node pause_node reload crash_target leave_target config out)
+  local i nodes='' node_services='' kinds=(hop store store_all sever_all go_back kill_node kill_all kill_beside_cold stop_node pause_node reload crash_target leave_target leave_kill_all config out)
   for ((i = 0; i < NODES; i++)); do
     settings "$i" >"$dir/settings-$i.yaml"
     begin "hop$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7013" -to "$(ip "$i"):7003" -control "$(ip "$i"):7023"
@@ -150,6 +168,9 @@
     sleep "0.$((RANDOM % 8 + 1))"
   done
   heal
+  revive_targets; sleep "$SETTLED"
+  local loss lost_nodes='' loss_end; loss=$(date +%s%3N)
+  kill_watchers
   control POST "http://$store_control/" '{"mute_watches":true}'
   change $((version + 1)); sleep 1
   control POST "http://$store_control/" '{}'
@@ -160,7 +181,7 @@
   [ -z "$CHANGE_EVERY" ] || end changes
   sleep "$SETTLING"
   end callers; wait "${pid_of[callers]}" 2>/dev/null
-  "$BIN/vtstandin" judge -dir "$dir" -calm "$calm" >"$dir/verdict" 2>&1
+  "$BIN/vtstandin" judge -dir "$dir" -calm "$calm" -loss "$loss" -loss-end "$loss_end" -lost-nodes "${lost_nodes:1}" >"$dir/verdict" 2>&1
   local status=$? name
   for name in "${!pid_of[@]}"; do end "$name" KILL; done
   wait 2>/dev/null
