Soak: an acknowledged configuration before the loss of the watchers

Traced: version 2 or 3 had been written in the faults before without an acknowledgement, so the nodes rightly held a later one than the last that the callers knew. The check itself stays.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -168,6 +168,7 @@
     sleep "0.$((RANDOM % 8 + 1))"
   done
   heal
+  change $((version + 1)) # the store may have executed an earlier one without an acknowledgement
   revive_targets; sleep "$SETTLED"
   local loss lost_nodes='' loss_end; loss=$(date +%s%3N)
   kill_watchers
