--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -7,4 +7,4 @@
 	[ -x "$program" ] || { echo "missing: $program"; exit 2; }
 done
 # The command of the deploy file.
-VTNODE="target/vtnode serve" VTSTANDIN="$kit/vtstandin" exec "$kit/standins3" memory "review/13/record.txt"
+VTNODE="target/vtnode serve" VTSTANDIN="$kit/vtstandin" exec "$kit/standins3" quota "review/13/record.txt"
--- a/review/kit3/deployment.go
+++ b/review/kit3/deployment.go
@@ -55,6 +55,8 @@
 type node struct {
 	name, zone, service                                        string
 	callers, hop, ready, reports, peers, metrics, target, file string
+	link                                                       string // where a proxy to the store may listen
+	store                                                      string // the address at which the node reaches the store
 	process                                                    *exec.Cmd
 	ended                                                      chan struct{}
 }
@@ -68,6 +70,7 @@
 	store     string
 	control   string
 	storeProc *exec.Cmd
+	contracts string // further ones, for the settings
 	nodes     []*node
 }
 
@@ -89,12 +92,15 @@
 		return nil, err
 	}
 	for i, service := range services {
-		n := &node{name: fmt.Sprintf("n%d", i), zone: fmt.Sprintf("z%d", i%3), service: service}
+		n := &node{name: fmt.Sprintf("n%d", i), zone: fmt.Sprintf("z%d", i%3), service: service, store: d.store}
 		for _, address := range []*string{&n.callers, &n.hop, &n.ready, &n.reports, &n.peers, &n.metrics, &n.target} {
 			if *address, err = held.free(host(i)); err != nil {
 				return nil, err
 			}
 		}
+		if n.link, err = held.free(host(i)); err != nil {
+			return nil, err
+		}
 		n.file = filepath.Join(directory, n.name+".yaml")
 		if err := os.WriteFile(n.file, []byte(d.settings(n, true)), 0o600); err != nil {
 			return nil, err
@@ -139,7 +145,7 @@
   metrics: %q
 store: %q
 first_start: %t
-contracts: ["base","drain","config","cost","retry","recover","health","places","platform"]
+contracts: ["base","drain","config","cost","retry","recover","health","places"%s,"platform"]
 keys_fail_closed: false
 limits:
   repeat_ratio: 0.2
@@ -149,7 +155,7 @@
   stop_s: 6
   memory_mb: %d
   config_apply_s: 2
-`, n.name, n.zone, n.service, n.target, n.callers, n.hop, n.ready, n.reports, n.peers, n.metrics, d.store, first, memoryMB)
+`, n.name, n.zone, n.service, n.target, n.callers, n.hop, n.ready, n.reports, n.peers, n.metrics, n.store, first, d.contracts, memoryMB)
 }
 
 // startStore starts the store of the project's stand-in.
@@ -216,7 +222,12 @@
 
 // startAll writes the config, starts all nodes and waits until they are ready.
 func (d *deployment) startAll() error {
-	if err := d.writeConfig(config); err != nil {
+	return d.startAllWith(config)
+}
+
+// startAllWith is like startAll with another config.
+func (d *deployment) startAllWith(spec string) error {
+	if err := d.writeConfig(spec); err != nil {
 		return err
 	}
 	for _, n := range d.nodes {
@@ -290,11 +301,11 @@
 }
 
 // report is what a server says of itself.
-func report(address, service, zone, id, state string, born int64, sequence, slots int) []byte {
+func report(address, service, zone, id, state string, born int64, sequence, slots int, cold float64) []byte {
 	body, _ := json.Marshal(map[string]any{
 		"address": address, "born": born,
 		"info":   map[string]any{"service": service, "version": "v1", "zone": zone, "slots": slots},
-		"status": map[string]any{"state": state, "sequence": sequence, "coldRemainingS": 0},
+		"status": map[string]any{"state": state, "sequence": sequence, "coldRemainingS": cold},
 	})
 	return body
 }
--- a/review/kit3/server.go
+++ b/review/kit3/server.go
@@ -34,6 +34,7 @@
 	http     *http.Server
 	running  atomic.Int64
 	sequence atomic.Int64
+	cold     time.Time // until when the server is cold
 	state    atomic.Value
 	quiet    atomic.Bool // sends no status reports
 	stopped  chan struct{}
@@ -70,11 +71,14 @@
 	return nil
 }
 
+// coldLeft returns how much longer the server is cold.
+func (s *server) coldLeft() time.Duration { return max(0, time.Until(s.cold)) }
+
 // tellState sends a status report and returns whether it was acknowledged.
 func (s *server) tellState() bool {
 	state := s.state.Load().(string)
 	sequence := int(s.sequence.Add(1))
-	status := tell(s.node, "PUT", s.id, report(s.node.target, s.node.service, s.node.zone, s.id, state, s.born, sequence, s.slots))
+	status := tell(s.node, "PUT", s.id, report(s.node.target, s.node.service, s.node.zone, s.id, state, s.born, sequence, s.slots, s.coldLeft().Seconds()))
 	s.record.write("server %s reports %s to %s: sequence %d, born %d, answered %d", s.id, state, s.node.name, sequence, s.born, status)
 	return status/100 == 2
 }
@@ -94,6 +98,9 @@
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", s.running.Load(), s.slots))
 	if r.URL.Path == "/health" {
 		h.Set("Instance-Id", s.id)
+		if left := s.coldLeft(); left > 0 {
+			h.Set("Cold-Start-Ms", fmt.Sprint(left.Milliseconds()))
+		}
 		if s.state.Load() != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -169,6 +176,7 @@
 	node   *node
 	record *recorder
 	client *http.Client
+	key    string // of its tenant, if the config holds tenants
 }
 
 func newConsumer(n *node, record *recorder) *consumer {
@@ -186,6 +194,9 @@
 	request.Host = "front.example"
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Request-Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
+	if c.key != "" {
+		request.Header.Set("Key", c.key)
+	}
 	client := *c.client
 	client.Timeout = timeout + time.Second
 	response, err := client.Do(request)
