DRAIN: a target that leaves after its clock has jumped back stayed in use

Callers: requests went on to a target for as long as it ran after its departure was acknowledged, and those in flight at its end were lost.

Cause: a deregistration has no body. The node recorded its own time of day as the start of the process that leaves, and a process that had reported a later start, by a clock that was ahead then, was taken for another one.

Change: a deregistration is that of the process that reported last under the instance, named by the start it reports. If that is not known, or the process has ended since, the departure covers what reports under the instance within 15 s by the steady clock of the node. No clock of the node is read, so a jump of it can't matter. Stored departures are read as before.

The stand-in of a target was kinder than the platform: it sent its start with a deregistration. It sends no body now, its drain counts from the first acknowledgement, and it can start with a clock that is off; in the soak every second target leaves by a deregistration alone, some of them a second after their start.

TestTargetWhoseClockHasJumpedBackLeaves failed on in the two rows with a report ("the target is in use after its departure was acknowledged").

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -124,6 +124,7 @@
 func serverCommand() *soakCommand {
 	var options standin.TargetOptions
 	var address string
+	var deregisterFirst bool
 	return &soakCommand{
 		name: "server", synopsis: "run a stand-in of a target that reports to its node, for the soak",
 		flags: func(f *flag.FlagSet) {
@@ -136,12 +137,14 @@
 			f.DurationVar(&options.RunTime, "work", 20*time.Millisecond, "duration of a run")
 			f.DurationVar(&options.ColdDuration, "cold", 0, "time for which it is cold after its start")
 			f.DurationVar(&options.ReportInterval, "every", 500*time.Millisecond, "time between reports")
+			f.DurationVar(&options.ClockOffset, "clock", 0, "how far the time of day is ahead at its start")
+			f.BoolVar(&deregisterFirst, "deregister-first", false, "leave by a deregistration alone, without a report of the drain")
 		},
-		run: func(ctx context.Context) error { return runServer(ctx, options, address) },
+		run: func(ctx context.Context) error { return runServer(ctx, options, address, deregisterFirst) },
 	}
 }
 
-func runServer(ctx context.Context, options standin.TargetOptions, address string) error {
+func runServer(ctx context.Context, options standin.TargetOptions, address string, deregisterFirst bool) error {
 	options.AnswersEarly = soak.AnswersEarly
 	target := standin.NewTarget(options)
 	var mu sync.Mutex
@@ -170,7 +173,11 @@
 	defer stopReporting()
 	target.ReportPeriodically(reporting, address)
 	late := target.DelayedReport(address)
-	if err := drain(target, address); err != nil {
+	leave := func() error { return target.SendReport(address, true) }
+	if deregisterFirst {
+		leave = target.Deregister
+	}
+	if err := untilAcknowledged(leave); err != nil {
 		return errors.Wrap(err, "report the drain")
 	}
 	go sendLate(late)
@@ -178,11 +185,11 @@
 	return errors.Wrap(target.Deregister(), "leave")
 }
 
-// drain reports that the target drains until a node acknowledges it.
-func drain(target *standin.Target, address string) error {
+// untilAcknowledged sends a report of the drain until a node acknowledges it.
+func untilAcknowledged(send func() error) error {
 	var err error
 	for range drainAttempts {
-		if err = target.SendReport(address, true); err == nil {
+		if err = send(); err == nil {
 			return nil
 		}
 		time.Sleep(drainRetryInterval)
--- a/gateway/control.go
+++ b/gateway/control.go
@@ -89,18 +89,14 @@
 }
 
 // handleDeregistration records that an instance of the target leaves for good.
-// If the body does not state when the instance started, the present time is
-// used.
+// If the body does not state when the instance started, it is the one that runs now. The
+// time of day does not tell which one that is: it may have jumped back since the start.
 func (n *Node) handleDeregistration(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxReportBytes))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, errors.Wrap(err, "read deregistration"))
 		return
 	}
-	startedMillis, ok := platform.DecodeDeregistration(body)
-	if !ok {
-		startedMillis = time.Now().UnixMilli()
-	}
 	id := r.PathValue("id")
 	if len(id) > maxNameBytes {
 		err := errors.Errorf("instance must not have more than %d bytes", maxNameBytes)
@@ -108,8 +104,8 @@
 		writeError(w, http.StatusBadRequest, err)
 		return
 	}
-	n.localTarget.deregister(id, startedMillis)
-	n.acknowledgeDeparture(w, r, departure.Departure{Instance: id, StartedMillis: startedMillis})
+	startedMillis, stated := platform.DecodeDeregistration(body)
+	n.acknowledgeDeparture(w, r, n.localTarget.deregister(id, startedMillis, stated))
 }
 
 // writeEmpty answers with an empty JSON object.
--- a/gateway/departures_test.go
+++ b/gateway/departures_test.go
@@ -22,9 +22,16 @@
 
 // addSilentTarget starts a node and a target that has reported once.
 func (f *testFleet) addSilentTarget() *silentTarget {
+	f.t.Helper()
+	return f.addSilentTargetStartedAt(time.Now())
+}
+
+// addSilentTargetStartedAt starts a node and a target that has reported once, by whose clock it
+// started at a time of day.
+func (f *testFleet) addSilentTargetStartedAt(started time.Time) *silentTarget {
 	f.t.Helper()
 	n := f.addNode(quick)
-	s := &silentTarget{node: n, instance: "i-" + n.settings.Name, started: time.Now().UnixMilli()}
+	s := &silentTarget{node: n, instance: "i-" + n.settings.Name, started: started.UnixMilli()}
 	s.Target = standin.NewTarget(standin.TargetOptions{Instance: s.instance, Service: "s", DataCentre: "z1", Slots: quick.slots})
 	n.target = s.Target
 	if err := standin.StartServer(f.ctx, n.settings.Target, s.Target); err != nil {
@@ -44,10 +51,11 @@
 		s.node.settings.Target, s.started, quick.slots, state, sequence))
 }
 
-// deregister deregisters the target and returns the status of the response.
+// deregister deregisters the target, as on the users' platform without a body, and returns the
+// status of the response.
 func (s *silentTarget) deregister(t *testing.T) int {
 	t.Helper()
-	return s.send(t, http.MethodDelete, fmt.Sprintf(`{"born":%d}`, s.started))
+	return s.send(t, http.MethodDelete, "")
 }
 
 func (s *silentTarget) send(t *testing.T, method, body string) int {
@@ -142,6 +150,42 @@
 	}
 }
 
+// A target left by a deregistration after its time of day had jumped back. The node recorded its own
+// time of day, which was before the start that the target reported, and went on sending requests
+// to it. Nor may a report that the target sent before then open it again, at this process or the next.
+func TestTargetWhoseClockHasJumpedBackLeaves(t *testing.T) {
+	const jump = 2400 * time.Millisecond
+	for name, test := range map[string]struct{ reported, restarted bool }{
+		"reported": {reported: true}, "restarted node": {reported: true, restarted: true},
+		"no report of this process": {}, "no report of this process, restarted node": {restarted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t)
+			f.store.Put("config", "main", standin.ConfigForServices(1, "s"))
+			leaver := f.addSilentTargetStartedAt(time.Now().Add(jump))
+			f.addSilentTarget()
+			f.settled(1)
+			if !test.reported {
+				f.restart(leaver.node)
+			}
+			if got := leaver.deregister(t); got != http.StatusOK {
+				t.Fatalf("the deregistration is answered %d", got)
+			}
+			if leaver.node.localTarget.state(time.Now()).Accepting {
+				t.Error("the target is in use after its departure was acknowledged")
+			}
+			if test.restarted {
+				f.restart(leaver.node)
+			}
+			leaver.report(t, "ready", 2)
+			eventually(t, "a report is applied", func() bool { return leaver.node.localTarget.state(time.Now()).Instance != "" })
+			if leaver.node.localTarget.state(time.Now()).Accepting {
+				t.Error("the target is in use after a late report")
+			}
+		})
+	}
+}
+
 // A node that reaches neither the store nor a peer can't promise anything that outlasts it, so
 // it must not acknowledge a departure. The target must get no more requests all the same.
 func TestDepartureThatOneProcessAloneKnowsIsNotAcknowledged(t *testing.T) { leaveInAnOutage(t, 1) }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -88,6 +88,13 @@
 		"watchers", role.Watchers, "nodes", nodes)
 }
 
+// targetLeft logs the departure of the local target. Stated is set if the target has stated when
+// it started.
+func (e *eventLog) targetLeft(d departure.Departure, stated bool) {
+	e.journal.Log(journal.Change, "target_left", "instance", d.Instance, "born", d.StartedMillis, "stated", stated,
+		"start_known", d.StartedMillis != departure.AnyStart)
+}
+
 // departureKept logs that the store holds a departure of the local target.
 func (e *eventLog) departureKept(d departure.Departure, peers int, took time.Duration) {
 	e.journal.Log(journal.Change, "departure_kept", "instance", d.Instance, "born", d.StartedMillis, "peers", peers, "took_ms", took.Milliseconds())
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"verbenatrestle/process/departure"
 	"verbenatrestle/process/gate"
-	"verbenatrestle/process/journal"
 )
 
 // applyReport applies a status report of the target, unless a newer one is known. A report
@@ -62,7 +62,7 @@
 	before, departures := t.gate.State(now), t.gate.Departures()
 	accepted := t.gate.ApplyReport(report, now)
 	after := t.gate.State(now)
-	newDepartures := !departures.IncludesAll(t.gate.Departures())
+	newDepartures := !slices.Equal(departures, t.gate.Departures())
 	crash := t.gate.TakeCrash()
 	if accepted && (t.pool == nil || t.pool.Address() != report.Address || before.Instance != after.Instance) {
 		t.replacePool(report.Address)
@@ -84,15 +84,22 @@
 	}
 }
 
-// deregister records that an instance of the target leaves for good.
-// StartedMillis is the start of its process in Unix milliseconds.
-func (t *localTarget) deregister(instance string, startedMillis int64) {
+// deregister records that a process of the target leaves for good, and returns its departure:
+// the one of an instance that started at startedMillis if that is stated, else the one that
+// runs now.
+func (t *localTarget) deregister(instance string, startedMillis int64, stated bool) departure.Departure {
 	now := time.Now()
+	left := departure.Departure{Instance: instance, StartedMillis: startedMillis}
 	t.mu.Lock()
-	t.gate.Deregister(instance, startedMillis, now)
+	if stated {
+		t.gate.Deregister(instance, startedMillis, now)
+	} else {
+		left = t.gate.DeregisterRunning(instance, now)
+	}
 	t.mu.Unlock()
-	t.node.events.log(journal.Change, "target_left", "instance", instance, "born", startedMillis)
+	t.node.events.targetLeft(left, stated)
 	t.node.peers.requestBroadcast()
+	return left
 }
 
 // departures returns the departures beside this node.
--- a/process/departure/list.go
+++ b/process/departure/list.go
@@ -1,19 +1,26 @@
 package departure
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // MaxListed bounds the departures of the targets beside one node that are kept. It is far
 // above the number of processes that run there before the last delayed report of the first
 // one has arrived.
 const MaxListed = 8
 
+// AnyStart is the Departure.StartedMillis of a process whose start is not known. It covers all
+// processes of the instance until Narrow replaces it.
+const AnyStart int64 = math.MaxInt64
+
 // Departure is the departure of a process of a target, and of all earlier processes of the
 // same instance.
 type Departure struct {
 	// Instance is the id under which the process reports.
 	Instance string `json:"instance"`
-	// StartedMillis is when the process started, or a later time if that is not known,
-	// in Unix milliseconds.
+	// StartedMillis is when the process started by its own clock, in Unix milliseconds, or
+	// AnyStart.
 	StartedMillis int64 `json:"started_ms"`
 }
 
@@ -43,6 +50,18 @@
 	return added[max(0, len(added)-MaxListed):]
 }
 
+// Narrow returns the list with a departure of an instance whose start was not known, as one of
+// the processes that started up to startedMillis. The list itself does not change.
+func (l List) Narrow(instance string, startedMillis int64) List {
+	narrowed := slices.Clone(l)
+	for i := range narrowed {
+		if narrowed[i].Instance == instance && narrowed[i].StartedMillis == AnyStart {
+			narrowed[i].StartedMillis = startedMillis
+		}
+	}
+	return narrowed
+}
+
 // Merge returns the list with the departures of one that is older, at the front: they are
 // the first to be dropped.
 func (l List) Merge(older List) List {
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -53,6 +53,8 @@
 	dataCentreOut     bool
 	// departures holds the processes of the target that leave or have left.
 	departures departure.List
+	// anyStartAt is when a departure with departure.AnyStart was last recorded or restored.
+	anyStartAt time.Time
 
 	// slowdown is how long work takes now, in percent of the usual time.
 	slowdown int
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -116,7 +116,7 @@
 			g.ApplyReport(Report{Instance: "i-1", Service: "s", Slots: 2, Sequence: 2, StartedMillis: 1000, Draining: true}, start)
 		},
 		"by deregistration":              func(g *Gate) { g.Deregister("i-1", 1000, start) },
-		"by deregistration without born": func(g *Gate) { g.Deregister("i-1", start.UnixMilli(), start) },
+		"by deregistration without born": func(g *Gate) { g.DeregisterRunning("i-1", start) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newTestGate(2)
--- a/process/gate/leaving_test.go
+++ b/process/gate/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"verbenatrestle/process/departure"
 )
@@ -55,6 +56,59 @@
 	}
 }
 
+// A deregistration names no process. If the one that reported last still runs, a later one of the
+// instance must be used. If it does not, or is not known, any that reports soon may be the one that left.
+func TestDeregistrationCoversTheProcessThatRuns(t *testing.T) {
+	report := Report{Instance: "i-1", Service: "s", Address: "10.0.0.1:1", Slots: 1, Sequence: 1, StartedMillis: 1000}
+	later := report
+	later.StartedMillis = 2000
+	for name, test := range map[string]struct {
+		before func(g *Gate)
+		// report arrives after the deregistration, after a time.
+		report Report
+		after  time.Duration
+		want   bool
+	}{
+		"same process":                  {func(g *Gate) { g.ApplyReport(report, start) }, Report{Sequence: 2, StartedMillis: 1000}, time.Minute, false},
+		"later process":                 {func(g *Gate) { g.ApplyReport(report, start) }, later, time.Millisecond, true},
+		"unknown process":               {func(*Gate) {}, later, time.Millisecond, false},
+		"unknown process, long ago":     {func(*Gate) {}, later, lateReportWindow, true},
+		"known one has ended":           {func(g *Gate) { g.ApplyReport(report, start); g.MarkDown(start) }, later, time.Millisecond, false},
+		"known one has ended, long ago": {func(g *Gate) { g.ApplyReport(report, start); g.MarkDown(start) }, later, lateReportWindow, true},
+		"left, then ended": {func(g *Gate) {
+			g.ApplyReport(report, start)
+			g.DeregisterRunning("i-1", start)
+			g.MarkDown(start)
+		}, later, time.Millisecond, true},
+		"crashed and found running again": {func(g *Gate) {
+			g.ApplyReport(report, start)
+			g.Admit(newRequest("a", start), start)
+			g.ProcessEnded(start)
+			g.ApplyHealthCheck("i-1", 0, start)
+		}, later, time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := New(Settings{QueueShare: 1})
+			test.before(g)
+			left := g.DeregisterRunning("i-1", start)
+			next := report
+			next.Sequence, next.StartedMillis = test.report.Sequence, test.report.StartedMillis
+			restarted := New(Settings{QueueShare: 1})
+			restarted.RestoreDepartures(g.Departures(), start)
+			if !g.Departures().Includes(left.Instance, left.StartedMillis) {
+				t.Fatalf("%v is not kept in %v", left, g.Departures())
+			}
+			for kind, g := range map[string]*Gate{"the gate": g, "a gate that is restarted": restarted} {
+				at := start.Add(test.after)
+				g.ApplyReport(next, at)
+				if got := g.State(at).Accepting; got != test.want {
+					t.Errorf("%s uses the process that reports: %t, want %t; departures %v", kind, got, test.want, g.Departures())
+				}
+			}
+		})
+	}
+}
+
 // Departures that arrive only after the target was taken for usable must stop it.
 func TestRestoredDepartureStopsTheTarget(t *testing.T) {
 	g := newTestGate(1)
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -62,9 +62,10 @@
 // counts as draining. The departure of a process that a later one replaces is recorded. If
 // the target now belongs to another service, the requests that wait are refused.
 func (g *Gate) ApplyReport(report Report, now time.Time) bool {
+	g.narrowDeparture(&report, now)
 	if g.target != nil && !report.Supersedes(g.target) {
 		if report.Draining && report.StartedMillis < g.target.StartedMillis {
-			g.recordDeparture(departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis})
+			g.recordDeparture(departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis}, now)
 		}
 		return false
 	}
@@ -76,10 +77,10 @@
 		g.ProcessEnded(now)
 	}
 	if g.target != nil && report.StartedMillis > g.target.StartedMillis {
-		g.recordDeparture(departure.Departure{Instance: g.target.Instance, StartedMillis: g.target.StartedMillis})
+		g.recordDeparture(departure.Departure{Instance: g.target.Instance, StartedMillis: g.target.StartedMillis}, now)
 	}
 	if report.Draining {
-		g.recordDeparture(departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis})
+		g.recordDeparture(departure.Departure{Instance: report.Instance, StartedMillis: report.StartedMillis}, now)
 	}
 	otherService := g.target != nil && report.Service != g.target.Service
 	g.target = &report
@@ -107,22 +108,57 @@
 	if g.target == nil || g.target.Instance != instance || g.Draining() {
 		return false
 	}
-	g.recordDeparture(departure.Departure{Instance: instance, StartedMillis: g.target.StartedMillis})
+	g.recordDeparture(departure.Departure{Instance: instance, StartedMillis: g.target.StartedMillis}, now)
 	g.dispatch(now)
 	return true
 }
 
 // Deregister records that a process of the target leaves for good: the one that
-// started at startedMillis, and all earlier ones of the same instance. A caller
-// that does not know the start passes the present time. Both are in Unix
-// milliseconds.
+// started at startedMillis, in Unix milliseconds, and all earlier ones of the same
+// instance.
 func (g *Gate) Deregister(instance string, startedMillis int64, now time.Time) {
-	g.recordDeparture(departure.Departure{Instance: instance, StartedMillis: startedMillis})
+	g.recordDeparture(departure.Departure{Instance: instance, StartedMillis: startedMillis}, now)
 	g.dispatch(now)
 }
 
+// DeregisterRunning records that the process that runs under an instance leaves for good, and
+// returns its departure. That is the process that reported last, unless it has ended since:
+// the one that runs now has not reported then, and its start is not known.
+func (g *Gate) DeregisterRunning(instance string, now time.Time) departure.Departure {
+	d := departure.Departure{Instance: instance, StartedMillis: departure.AnyStart}
+	reported := g.target != nil && g.target.Instance == instance
+	if reported && (g.Draining() || !g.endedSinceReport()) {
+		d.StartedMillis = g.target.StartedMillis
+	}
+	g.recordDeparture(d, now)
+	g.dispatch(now)
+	return d
+}
+
+// endedSinceReport reports whether the process that reported last was found not running.
+func (g *Gate) endedSinceReport() bool {
+	return g.down || g.crashes.ended || g.crashes.restarts > 0
+}
+
+// lateReportWindow is how long a report may be on its way.
+const lateReportWindow = 15 * time.Second
+
+// narrowDeparture ends the departure of an instance whose start is not known for the processes
+// that report after lateReportWindow. A process that has left sends no reports, and those that
+// it sent before have arrived by then.
+func (g *Gate) narrowDeparture(report *Report, now time.Time) {
+	if g.departures.Includes(report.Instance, departure.AnyStart) && now.Sub(g.anyStartAt) >= lateReportWindow {
+		g.departures = g.departures.Narrow(report.Instance, report.StartedMillis-1)
+	}
+}
+
 // recordDeparture records that a process of the target leaves or has left.
-func (g *Gate) recordDeparture(d departure.Departure) { g.departures = g.departures.Add(d) }
+func (g *Gate) recordDeparture(d departure.Departure, now time.Time) {
+	if d.StartedMillis == departure.AnyStart && !g.departures.Includes(d.Instance, d.StartedMillis) {
+		g.anyStartAt = now
+	}
+	g.departures = g.departures.Add(d)
+}
 
 // Departures returns the departures that are known. The result must not be modified.
 func (g *Gate) Departures() departure.List { return g.departures }
@@ -134,6 +170,7 @@
 		return false
 	}
 	g.departures = g.departures.Merge(earlier)
+	g.anyStartAt = now
 	g.dispatch(now)
 	return true
 }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,7 +5,8 @@
 # NODES, SECONDS_LOAD and RATE set the size of a run, and OUT is the directory for
 # its records. The first half of all IP addresses is NET. CHANGE_EVERY is the time in
 # seconds between changes of the configuration throughout the run. Without it, changes
-# are one of the faults. Configurations have ROUTES further routes.
+# are one of the faults. Configurations have ROUTES further routes. KINDS are the kinds
+# of faults, all by default.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 BIN=${BIN:-bin}
@@ -22,6 +23,7 @@
 SETTLING=3 # seconds without changes at the end of these seconds
 SETTLED=5 # seconds without faults before the nodes that watch the store are killed
 LOSS=3 # seconds until they are started anew
+CLOCK_JUMP=2400 # milliseconds by which the time of day of some targets is off at their start
 COLD=3s # time for which a target is cold after its start
 SURGE_RATE=250 # requests per second to the service of a cold target whose node is killed
 
@@ -56,10 +58,12 @@
 }
 start_node() { begin "node$1" "$dir/node-$1" "$BIN/vtnode" serve -settings "$dir/settings-$1.yaml"; }
 instances=0
-start_target() {
+start_target() { # I [FLAG...]: every second target leaves by a deregistration alone
   instances=$((instances + 1))
+  local leave=("${@:2}"); [ $((instances % 2)) = 0 ] || leave+=(-deregister-first)
   begin "target$1" "$dir/ran-$instances" "$BIN/vtstandin" server -listen "$(ip "$1"):7001" -instance "i-$1-$instances" \
-    -service "${SERVICES[$(($1 % 2))]}" -dc "z$(($1 % 3))" -node "$(ip "$1"):7005" -cold "$COLD"
+    -service "${SERVICES[$(($1 % 2))]}" -dc "z$(($1 % 3))" -node "$(ip "$1"):7005" -cold "$COLD" \
+    -clock "$(((($1 + 1) % 3 - 1) * CLOCK_JUMP))ms" "${leave[@]}"
 }
 operator() { "$BIN/vtstandin" operator -store "$store" "$@" 2>/dev/null || true; } # the failure of a change is one more fault
 config() { # VERSION: write a configuration
@@ -124,6 +128,9 @@
     reload) sed -i "s/repeat_slack: .*, repeat_w/repeat_slack: $((RANDOM % 50 + 30)), repeat_w/" "$dir/settings-$i.yaml"; [ $((RANDOM % 2)) = 0 ] && end "node$i" HUP ;;
     crash_target) end "target$i" KILL; wait "${pid_of[target$i]}" 2>/dev/null; sleep 0.5; start_target "$i" ;;
     leave_target) end "target$i" TERM; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" ;;
+    leave_young) # a target leaves by a deregistration alone soon after its start
+      end "target$i" KILL; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" -deregister-first
+      sleep "1.$((RANDOM % 5))"; end "target$i"; wait "${pid_of[target$i]}" 2>/dev/null; start_target "$i" ;;
     leave_kill_all) # a target leaves, and all nodes are killed after the acknowledgement, in an outage of the store or not
       [ $((RANDOM % 2)) = 0 ] && control POST "http://$store_control/" "{\"$2\":true}"
       end "target$i"; sleep 0.5
@@ -148,7 +155,8 @@
   dir=$OUT/$seed; rm -rf "$dir"; mkdir -p "$dir"
   store=$(ip 200):7100; store_control=$(ip 200):7101
   begin store "$dir/store" "$BIN/vtstandin" store -listen "$store" -control "$store_control"
-  local i nodes='' node_services='' kinds=(hop store store_all sever_all go_back kill_node kill_all kill_beside_cold stop_node pause_node reload crash_target leave_target leave_kill_all config out)
+  local i nodes='' node_services='' kinds
+  read -ra kinds <<<"${KINDS:-hop store store_all sever_all go_back kill_node kill_all kill_beside_cold stop_node pause_node reload crash_target leave_target leave_young leave_kill_all config out}"
   for ((i = 0; i < NODES; i++)); do
     settings "$i" >"$dir/settings-$i.yaml"
     begin "hop$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7013" -to "$(ip "$i"):7003" -control "$(ip "$i"):7023"
