FAILBACK: a restarted node misjudged the age of a cold target after a clock step

Callers: a cold target got up to 46 requests in a second, 33.5 allowed, from two processes of its node in turn.

Cause: a new process waits a second before it sends to a cold target, unless that started with it after a loss of power.

Change: the age of a cold start is taken from the configured duration and the rest that a health check states, counted back from when the check was sent, by the steady clock. A health check is answered by the process that runs now, a report may be late. What is not proven waits. The first report of a process triggers a check, so that a loss of power costs milliseconds.

--- a/gateway/health.go
+++ b/gateway/health.go
@@ -110,12 +110,12 @@
 		}
 		return
 	}
-	h.applyResponse(response)
+	h.applyResponse(response, h.checkedAt)
 }
 
-// applyResponse applies the response to a health check, and broadcasts a status
-// if the state of the target changed.
-func (h *healthChecker) applyResponse(response *exchange.Response) {
+// applyResponse applies the response to a health check that was sent at sentAt, and broadcasts a
+// status if the state of the target changed.
+func (h *healthChecker) applyResponse(response *exchange.Response, sentAt time.Time) {
 	t := h.node.localTarget
 	t.recordLoadSample(response.Header.Get(platform.HeaderLoad))
 	instance := response.Header.Get(platform.HeaderInstance)
@@ -128,7 +128,7 @@
 		return
 	}
 	t.mu.Lock()
-	changed := t.gate.ApplyHealthCheck(instance, cold, time.Now())
+	changed := t.gate.ApplyHealthCheck(instance, cold, sentAt, time.Now())
 	state := t.gate.State(time.Now())
 	t.mu.Unlock()
 	if changed {
--- a/gateway/reports.go
+++ b/gateway/reports.go
@@ -77,6 +77,9 @@
 		t.node.departures.requestWrite()
 	}
 	t.configure(t.node.config.snapshot())
+	if before.Instance != after.Instance {
+		t.node.health.checkNow() // shows since when the target is cold
+	}
 	changed := before.Instance != after.Instance || before.Accepting != after.Accepting
 	if changed {
 		t.node.events.targetChanged(report, before, after)
--- a/process/gate/capacity.go
+++ b/process/gate/capacity.go
@@ -70,11 +70,11 @@
 
 // coldDelay returns the time until a cold target may receive one more request, if none is
 // sent before then. Until coldWindow after the start of this process, the sends of an earlier
-// one may still count, unless that had ended when the target started: both start together
+// one may still count, unless that had ended when the target turned cold: both start together
 // after a loss of power.
 func (g *Gate) coldDelay(now time.Time) time.Duration {
 	delay := g.arrivals.timeUntilBelow(now, g.coldLimit())
-	if g.target.StartedMillis < g.settings.StartedAt.Add(-minRestartTime).UnixMilli() {
+	if g.coldSince.IsZero() || g.coldSince.Before(g.settings.StartedAt.Add(-minRestartTime)) {
 		delay = max(delay, g.settings.StartedAt.Add(coldWindow).Sub(now))
 	}
 	return delay
--- a/process/gate/cold_test.go
+++ b/process/gate/cold_test.go
@@ -25,7 +25,7 @@
 		}
 		g.Done(request, time.Millisecond, false, now)
 	}
-	if g.ApplyHealthCheck("i-1", 0, now.Add(time.Millisecond)) {
+	if g.ApplyHealthCheck("i-1", 0, now, now.Add(time.Millisecond)) {
 		t.Error("the health check changed something")
 	}
 	if left := g.State(now).ColdRemaining; left != 0 {
@@ -39,19 +39,24 @@
 // A node was killed right after it had sent its cold target all that this tolerates in a second.
 // The new process counted from zero and sent as many again within that second. A warm target gets
 // requests from a new process at once, and so does a target that started with it: after a loss of
-// power targets would get nothing for the first of the few seconds in which they are cold.
+// power targets would get nothing for the first of the few seconds in which they are cold. Which of
+// both started first was taken from their times of day, which is wrong after a jump of the clock.
 func TestReplacedProcessesStayWithinColdRate(t *testing.T) {
-	const interval = 2 * time.Millisecond
+	const interval, coldStart = 2 * time.Millisecond, 4 * time.Second
 	for name, test := range map[string]struct {
 		starts []time.Duration
 		warm   bool
 		// together is set if the target started with the last process, after a loss of power.
 		together bool
+		// ahead is how far the clock was ahead when the target started, and has jumped back since.
+		ahead time.Duration
 	}{
 		"killed":                       {starts: []time.Duration{100 * time.Millisecond}},
 		"killed twice within a second": {starts: []time.Duration{100 * time.Millisecond, 500 * time.Millisecond}},
 		"killed late in the second":    {starts: []time.Duration{950 * time.Millisecond}},
+		"killed, clock jumped back":    {starts: []time.Duration{100 * time.Millisecond}, ahead: 2400 * time.Millisecond},
 		"started with the target":      {starts: []time.Duration{100 * time.Millisecond}, together: true},
+		"together, clock jumped":       {starts: []time.Duration{100 * time.Millisecond}, together: true, ahead: -2400 * time.Millisecond},
 		"beside a warm target":         {starts: []time.Duration{100 * time.Millisecond}, warm: true},
 		"killed each half of a second": {starts: []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond}},
 	} {
@@ -59,15 +64,20 @@
 			now := start
 			newProcess := func() *Gate {
 				g := New(Settings{QueueShare: 1, DedupWindow: time.Second, StartedAt: now})
-				g.SetColdStart(19, 3*time.Second)
-				report := Report{Instance: "i-1", Service: "s", Slots: 18, Sequence: 1, StartedMillis: 1000, ColdRemaining: start.Add(4 * time.Second).Sub(now)}
+				g.SetColdStart(19, coldStart)
+				started := start
+				if test.together {
+					started = now.Add(-minRestartTime / 2)
+				}
+				report := Report{
+					Instance: "i-1", Service: "s", Slots: 18, Sequence: 1, StartedMillis: started.Add(test.ahead).UnixMilli(),
+					ColdRemaining: started.Add(coldStart).Sub(now),
+				}
 				if test.warm {
 					report.ColdRemaining = 0
 				}
-				if test.together {
-					report.StartedMillis = now.Add(-minRestartTime / 2).UnixMilli()
-				}
 				g.ApplyReport(report, now)
+				g.ApplyHealthCheck("i-1", report.ColdRemaining, now, now)
 				return g
 			}
 			g := newProcess()
--- a/process/gate/crash_test.go
+++ b/process/gate/crash_test.go
@@ -117,7 +117,7 @@
 			t.Fatalf("crash %d implicates %v, want 1", i+1, fingerprints(crash))
 		}
 		crashes = append(crashes, crash)
-		g.ApplyHealthCheck("i-1", 0, at.Add(3*time.Second))
+		g.ApplyHealthCheck("i-1", 0, at.Add(3*time.Second), at.Add(3*time.Second))
 	}
 	if crashes[0].ID("n") == crashes[1].ID("n") {
 		t.Errorf("both crashes have the id %+v", crashes[0].ID("n"))
--- a/process/gate/gate.go
+++ b/process/gate/gate.go
@@ -49,8 +49,11 @@
 	// coldStartDuration is how long the target is cold after a start.
 	coldStartDuration time.Duration
 	coldUntil         time.Time
-	down              bool
-	dataCentreOut     bool
+	// coldSince is when the target turned cold, or a little earlier, as the latest health check
+	// shows. It is zero if that does not show it. Reports don't: they may be late.
+	coldSince     time.Time
+	down          bool
+	dataCentreOut bool
 	// departures holds the processes of the target that leave or have left.
 	departures departure.List
 	// anyStartAt is when a departure with departure.AnyStart was last recorded or restored.
--- a/process/gate/gate_test.go
+++ b/process/gate/gate_test.go
@@ -293,13 +293,13 @@
 	if d := g.Admit(newRequest("a", start), start); d.Refused != RefusedDown {
 		t.Fatalf("refused %q", d.Refused)
 	}
-	if !g.ApplyHealthCheck("i-1", 2*time.Second, start) {
+	if !g.ApplyHealthCheck("i-1", 2*time.Second, start, start) {
 		t.Fatal("the health check changed nothing")
 	}
 	if !g.cold(start.Add(time.Second)) || g.cold(start.Add(3*time.Second)) {
 		t.Fatal("not cold for the time that the health check returned")
 	}
-	if g.ApplyHealthCheck("i-other", 0, start) {
+	if g.ApplyHealthCheck("i-other", 0, start, start) {
 		t.Fatal("a health check of another instance was accepted")
 	}
 }
--- a/process/gate/leaving_test.go
+++ b/process/gate/leaving_test.go
@@ -84,7 +84,7 @@
 			g.ApplyReport(report, start)
 			g.Admit(newRequest("a", start), start)
 			g.ProcessEnded(start)
-			g.ApplyHealthCheck("i-1", 0, start)
+			g.ApplyHealthCheck("i-1", 0, start, start)
 		}, later, time.Millisecond, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/process/gate/load_test.go
+++ b/process/gate/load_test.go
@@ -139,7 +139,7 @@
 	if d := g.Admit(newRequest("e", start), start); d.Refused != RefusedDown {
 		t.Fatalf("refused %q", d.Refused)
 	}
-	g.ApplyHealthCheck("i-1", 0, start)
+	g.ApplyHealthCheck("i-1", 0, start, start)
 	if !g.Admit(newRequest("f", start), start).Admitted() {
 		t.Fatal("still refused after a successful health check")
 	}
--- a/process/gate/target.go
+++ b/process/gate/target.go
@@ -89,7 +89,7 @@
 	}
 	if restarted {
 		g.down = false
-		g.coldUntil = time.Time{}
+		g.coldUntil, g.coldSince = time.Time{}, time.Time{}
 		g.slowdown = NormalSlowdown
 		g.failures = failureTracker{}
 		g.crashes.processStarted()
@@ -195,10 +195,10 @@
 // than one part in slowdownStep.
 const slowdownStep = 4
 
-// ApplyHealthCheck records a successful health check of an instance and how much
-// longer the target is cold. It reports whether the target was down before or
+// ApplyHealthCheck records a successful health check of an instance, when it was sent, and how
+// much longer the target is cold. It reports whether the target was down before or
 // turned cold or warm. A check of another instance is ignored.
-func (g *Gate) ApplyHealthCheck(instance string, coldRemaining time.Duration, now time.Time) bool {
+func (g *Gate) ApplyHealthCheck(instance string, coldRemaining time.Duration, sentAt, now time.Time) bool {
 	if g.target == nil || instance != g.target.Instance {
 		return false
 	}
@@ -211,10 +211,13 @@
 	if cold := coldRemaining > 0; cold != g.cold(now) {
 		changed = true
 	}
-	g.coldUntil = time.Time{} // warm also for requests that read the clock before now
+	g.coldUntil, g.coldSince = time.Time{}, time.Time{} // warm also for requests that read the clock before now
 	if coldRemaining > 0 {
 		g.coldUntil = now.Add(coldRemaining)
 	}
+	if coldRemaining > 0 && coldRemaining <= g.coldStartDuration {
+		g.coldSince = sentAt.Add(coldRemaining - g.coldStartDuration)
+	}
 	g.dispatch(now)
 	return changed
 }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -24,7 +24,7 @@
 SETTLED=5 # seconds without faults before the nodes that watch the store are killed
 LOSS=3 # seconds until they are started anew
 CLOCK_JUMP=2400 # milliseconds by which the time of day of some targets is off at their start
-COLD=3s # time for which a target is cold after its start
+COLD=3s # time for which a target is cold after its start, as configured
 SURGE_RATE=250 # requests per second to the service of a cold target whose node is killed
 
 declare -A pid_of
