MIXED: a response cut off by a reset passed for a whole one

Callers: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a complete answer.

Cause: the kernel tells of a reset once. The write of the request's body took it, and the read that followed found the end of the stream, which ends a response without a length.

Change: a read that finds the end fails if the kernel has dropped the connection, by the state of the socket, or if a write was told of a reset. The state is set before the read returns, so it tells a reset from an end.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"verbenatrestle/connection/httpcheck"
 	"verbenatrestle/internal/neterr"
 )
 
@@ -47,6 +48,8 @@
 	keepAlive time.Duration
 	// used is set once the connection has carried a response.
 	used bool
+	// resets tells the end of a response without a length from a reset.
+	resets httpcheck.ResetWatch
 	// givenUp is KindSilent or KindUnreachable once the connection was given up for that.
 	givenUp atomic.Pointer[Kind]
 
@@ -90,6 +93,9 @@
 		p = p[:min(len(p), c.headBytes)]
 	}
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		err = c.resets.ReadError(c.Conn, err)
+	}
 	c.headBytes -= n
 	c.readErr = err
 	return n, err
@@ -178,6 +184,7 @@
 	go func() {
 		buffers := net.Buffers{head, request.Body}
 		_, err := buffers.WriteTo(c.Conn)
+		c.resets.Wrote(err)
 		written <- err
 	}()
 	return written, nil
--- a/connection/exchange/early_test.go
+++ b/connection/exchange/early_test.go
@@ -152,3 +152,49 @@
 		})
 	}
 }
+
+// A response without a length passed for a whole one after the server had sent a part of it and reset the
+// connection, if the body of the request was still being written: the write was told of the reset, and the
+// read found an end.
+func TestResponseThatIsCutOffByAResetIsBroken(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+idHeader+": "+r.Header.Get(idHeader)+"\r\n\r\npart of the body")
+				time.Sleep(time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}()
+		}
+	}()
+	p := newTestPool(listener.Addr().String())
+	defer p.Close()
+	const attempts = 60
+	whole := 0
+	body := make([]byte, 8<<20)
+	for range attempts {
+		response, err := p.Do(t.Context(), &Request{Method: http.MethodPost, RequestURI: "/", Host: "h", ID: "a", Body: body, Header: http.Header{idHeader: {"a"}}}, 0)
+		if err == nil {
+			whole++
+			t.Logf("%d %q", response.Status, response.Body)
+		} else if failure := AsError(err); failure == nil || failure.Kind != KindBroken || !failure.MaybeSent {
+			t.Fatal(err)
+		}
+	}
+	if whole > 0 {
+		t.Errorf("%d of %d responses that were cut off passed for whole ones", whole, attempts)
+	}
+}
--- a/node/hopclient.go
+++ b/node/hopclient.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"verbenatrestle/connection/httpcheck"
 	"verbenatrestle/connection/load"
 	"verbenatrestle/request"
 	"verbenatrestle/request/balance"
@@ -41,7 +42,7 @@
 
 func newHopClient(protocol HopProtocol, key string, resolve func(string) (string, bool)) *hopClient {
 	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:           dialHop,
 		DisableCompression:    true,
 		IdleConnTimeout:       hopIdleTimeout,
 		MaxIdleConns:          maxIdleHopConnections,
@@ -56,6 +57,15 @@
 	}
 }
 
+// dialHop opens a connection to a node.
+func dialHop(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return httpcheck.DetectResets(conn), nil
+}
+
 // httpProtocols returns the HTTP versions to enable for a hop protocol.
 func httpProtocols(p HopProtocol) *http.Protocols {
 	set := new(http.Protocols)
--- /dev/null
+++ b/node/invalidanswer_test.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"verbenatrestle/request"
+)
+
+// invalidAnswers are what a server may send in place of an answer. %s is the request's id. The
+// response to a request with a long body is sent before that is read.
+var invalidAnswers = map[string]struct {
+	text string
+	// reset is set if the server resets the connection after the text.
+	reset     bool
+	bodyBytes int
+}{
+	// A part of an answer without a length passed for the whole, since the write of the request's
+	// body was told of the reset.
+	"cut off by a reset": {"HTTP/1.1 200 OK\r\nVt-Request-Id: %s\r\n\r\npart of the body", true, 8 << 20},
+}
+
+// startInvalidServer starts a server that sends a text in answer to each request.
+func startInvalidServer(t *testing.T, text string, reset bool) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for reader := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if r.URL.Path == "/load" { // the check of a new connection
+						_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+						continue
+					}
+					_, _ = io.WriteString(c, strings.ReplaceAll(text, "%s", r.Header.Get(request.HeaderRequestID)))
+					if reset {
+						time.Sleep(time.Millisecond)
+						_ = c.(*net.TCPConn).SetLinger(0)
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// An answer that is not valid, or of which only a part came, reached callers as an answer. What they get
+// must not say that the request has not run.
+func TestInvalidAnswersDoNotReachCallers(t *testing.T) {
+	const attempts = 30
+	for name, answer := range invalidAnswers {
+		address := startInvalidServer(t, answer.text, answer.reset)
+		local, a := newServedTarget(t, nil)
+		a.Address = address
+		local.announce(a)
+		hops := newHopClient(HopHTTP1, testPeerKey, func(string) (string, bool) { return address, true })
+		for front, send := range map[string]func(*bufferedRequest) result{
+			"target": func(req *bufferedRequest) result {
+				local.proxy.admission.SetOpenConnections(5)
+				return local.proxy.serve(context.Background(), req)
+			},
+			"hop": func(req *bufferedRequest) result { return hops.send(context.Background(), "n", request.HopGuard, req) },
+		} {
+			for i := range attempts {
+				req := lookupOf(t, "org/s")
+				req.id, req.method, req.body = fmt.Sprint("r", i), http.MethodPost, make([]byte, answer.bodyBytes)
+				res := send(req)
+				if res.response != nil {
+					t.Errorf("%s, %s: status %d, body %q", name, front, res.response.status, res.response.buffered)
+					res.response.close()
+					break
+				}
+				if res.failure.Outcome != request.Unknown {
+					t.Fatalf("%s, %s: %+v", name, front, res.failure)
+				}
+			}
+		}
+	}
+}
--- a/node/targetclient.go
+++ b/node/targetclient.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenatrestle/connection/httpcheck"
 	"verbenatrestle/process/admission"
 	"verbenatrestle/version"
 )
@@ -107,7 +108,7 @@
 		return nil, err
 	}
 	c.addOpen(1)
-	return &countedConn{Conn: conn, closed: func() { c.addOpen(-1) }}, nil
+	return &countedConn{Conn: httpcheck.DetectResets(conn), closed: func() { c.addOpen(-1) }}, nil
 }
 
 // addOpen changes openCount and calls onOpenCount unless the client is closed.
