QUOTA: nodes that don't know each other granted a quota twice

Callers: an organisation got far more than its quota.

Cause: the coordinator of an organisation is the first of the nodes that a node knows. Two nodes that had started while the store turned them away learnt of all nodes but each other, by the statuses that these sent. Both were first in their own order, and each granted the share of the nodes that it reached among those that it knew: all.

Change: statuses carry how many nodes their sender knows. A node that would be the coordinator and knows fewer than a peer asks that peer, which passes the message to the coordinator or back, as it does for a node that can't be reached; and its share is one of the nodes that the peer knows. One more field in a status, no list, no call at the store. The peers that told both nodes of themselves know both, so this holds from the first status on.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -245,7 +245,7 @@
 		ReachesStore:        reachesStore,
 		Watchers:            p.node.fleet.WatcherMarks(settings.Name, reachesStore, p.node.store.maxWatchers(), now),
 		ConfigNumber:        config.number(), OutRevision: outRevision, DataCentresOut: dataCentresOut,
-		CountsQuotas: true, WholeSlack: !now.Before(p.node.slackFrom()),
+		CountsQuotas: true, WholeSlack: !now.Before(p.node.slackFrom()), KnownNodes: p.node.fleet.ActiveNodes(),
 	}
 }
 
--- a/gateway/quotalinks_test.go
+++ b/gateway/quotalinks_test.go
@@ -170,3 +170,29 @@
 		t.Errorf("statuses %v, want only 200 and 429", statuses)
 	}
 }
+
+// Two nodes were started again while the store turned them away, so they learnt of all nodes but each other.
+// Both took themselves for the coordinator, and each granted the whole quota.
+func TestNodesThatDoNotKnowEachOtherDoNotDoubleTheQuota(t *testing.T) {
+	nodes, f, recorder := linkedFleet(t)
+	for _, n := range nodes[:2] {
+		n.stop()
+		<-n.ended
+		n.settings.Store = freeAddress(t)
+	}
+	testClient.CloseIdleConnections() // as in killAll
+	for _, n := range nodes[:2] {
+		f.start(n)
+	}
+	for _, n := range nodes[:2] {
+		eventually(t, "the node has the configuration and its peers", func() bool {
+			return n.config.snapshot().number() == 1 && n.fleet.Reachable(nodes[2].settings.Name, time.Now()) && n.fleet.Reachable(nodes[3].settings.Name, time.Now())
+		})
+	}
+	if _, known := nodes[1].fleet.Peer(nodes[0].settings.Name); known {
+		t.Fatal("the two nodes know each other")
+	}
+	const length = 4 * time.Second
+	floodAll(f, nodes, length)
+	checkMostOfQuota(t, recorder, length)
+}
--- a/internal/soak/organisations.go
+++ b/internal/soak/organisations.go
@@ -46,7 +46,7 @@
 // The quota of limitedOrganisation, which all configurations hold, and how many times its rate
 // its callers send.
 const (
-	limitedRate   = 5.0 // requests per second
+	limitedRate   = 10.0 // requests per second
 	limitedBurst  = 10.0
 	limitedDemand = 5
 )
--- a/process/fleet/coordinator.go
+++ b/process/fleet/coordinator.go
@@ -13,14 +13,15 @@
 	Node, DatagramAddress string
 	// Incarnation identifies the run of that node's process. It is zero for this node.
 	Incarnation uint64
-	// Relay is the next node in the order. It is only set if this node would be the
-	// coordinator but for one that it does not reach. That one may be lost, or at work for
+	// Relay is only set if this node would be the coordinator, but there may be another one:
+	// it is the next node in the order if this one does not reach all, and one of those that
+	// know the most nodes if this one knows fewer. The other one may be lost, or at work for
 	// the other nodes.
 	Relay Relay
 	// StatusOnly means that the loss of the node is noticed late.
 	StatusOnly bool
-	// Reached counts the nodes that this one reaches, and Known all that it knows, itself
-	// included both times.
+	// Reached counts the nodes that this one reaches, itself included, and Known all that it or
+	// one of those knows.
 	Reached, Known int
 }
 
@@ -34,6 +35,8 @@
 // Coordinator returns the coordinator of a name: of the nodes that count, the one with the
 // highest hash of its own name and that one. So nodes that reach the same others agree on it,
 // and the loss of a node moves only what it coordinated. Self is the name of this node.
+// A node that has started while it did not reach the store may not know the others that did so
+// as well, so one that knows fewer nodes than its peers does not rely on its own order.
 // Nodes that shut down or have no configuration, and so know no quota, are left out, and those
 // that excluded reports, which may be this node too. Nodes that were only discovered so far are
 // asked, or nodes of a large fleet would disagree for minutes.
@@ -47,6 +50,7 @@
 	}
 	var highest, second, missing uint64
 	var relay Relay
+	var informed *Peer
 	for _, p := range t.peers {
 		if p.Status.Stopping {
 			continue
@@ -55,6 +59,9 @@
 		reached := t.reachedLately(p, now)
 		if reached {
 			chosen.Reached++
+			if !excluded(p.Status.Node) && p.knowsMoreThan(informed, name) {
+				informed = p
+			}
 		}
 		if !p.canCoordinate() {
 			continue
@@ -67,15 +74,51 @@
 			chosen.Node, chosen.DatagramAddress = p.Status.Node, p.DatagramAddress
 			chosen.Incarnation, chosen.StatusOnly = p.Status.Incarnation, p.StatusOnly
 		case rank > second:
-			second, relay = rank, Relay{Node: p.Status.Node, DatagramAddress: p.DatagramAddress, StatusOnly: p.StatusOnly}
+			second, relay = rank, p.relay()
 		}
 	}
 	if chosen.Node == "" && missing > own {
 		chosen.Relay = relay
 	}
+	if informed != nil && informed.Status.KnownNodes > chosen.Known {
+		chosen.Known = informed.Status.KnownNodes
+		if chosen.Node == "" {
+			chosen.Relay = informed.relay()
+		}
+	}
 	return chosen
 }
 
+// knowsMoreThan reports whether a peer knows more nodes than another one, which may be nil. Of
+// those that know as many, it is the first one in the order for a name.
+func (p *Peer) knowsMoreThan(other *Peer, name string) bool {
+	switch {
+	case other == nil || p.Status.KnownNodes > other.Status.KnownNodes:
+		return true
+	case p.Status.KnownNodes < other.Status.KnownNodes:
+		return false
+	}
+	return coordinatorRank(name, p.Status.Node) > coordinatorRank(name, other.Status.Node)
+}
+
+// relay returns the peer as a relay.
+func (p *Peer) relay() Relay {
+	return Relay{Node: p.Status.Node, DatagramAddress: p.DatagramAddress, StatusOnly: p.StatusOnly}
+}
+
+// ActiveNodes returns the number of nodes that are known and do not shut down, this one included.
+func (t *Table) ActiveNodes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 1
+	for _, p := range t.peers {
+		if !p.Status.Stopping {
+			count++
+		}
+	}
+	return count
+}
+
 // canCoordinate reports whether a peer can count requests: it may not be of an earlier build, or
 // have no configuration. The status of a status-only peer may be minutes old, so that peer is
 // asked and passes messages on if it has none.
--- a/process/fleet/coordinator_test.go
+++ b/process/fleet/coordinator_test.go
@@ -161,3 +161,50 @@
 		t.Errorf("the node without a configuration: %+v, want %s", c, second)
 	}
 }
+
+// Two nodes that had started while the store turned them away knew all nodes but each other. Each took
+// itself for the coordinator and granted the whole quota.
+func TestNodeThatKnowsFewerNodesThanItsPeersAsksOneOfThem(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	nodes := []string{"n1", "n2", "n3", "n4", "n5", "n6"}
+	slices.SortFunc(nodes, func(a, b string) int { return cmp.Compare(coordinatorRank("acme", b), coordinatorRank("acme", a)) })
+	first, second := nodes[0], nodes[1]
+	// tableOf returns the table of a node that does not know another one. Its peers claim to know a
+	// number of nodes.
+	tableOf := func(self, unknown string, claims ...int) *Table {
+		table := NewTable(Settings{UnreachableAfter: time.Second, ForgetAfter: time.Hour, AvoidFor: time.Second})
+		for i, node := range nodes {
+			if node != self && node != unknown {
+				table.Merge(Status{Node: node, Incarnation: uint64(i + 1), Sequence: 1, CountsQuotas: true, ConfigNumber: 1, KnownNodes: claims[i%len(claims)]}, node+":1", now)
+			}
+		}
+		return table
+	}
+	for name, test := range map[string]struct {
+		table       *Table
+		self        string
+		relay, node string
+		known       int
+	}{
+		"the second, peers know more":     {tableOf(second, first, len(nodes)), second, nodes[2], "", len(nodes)},
+		"the first, peers know more":      {tableOf(first, second, len(nodes)), first, nodes[2], "", len(nodes)},
+		"only the last one knows more":    {tableOf(second, first, 5, 5, 5, 5, 5, 6), second, nodes[5], "", len(nodes)},
+		"peers know as many":              {tableOf(second, first, len(nodes)-1), second, "", "", len(nodes) - 1},
+		"peers of an earlier build":       {tableOf(second, first, 0), second, "", "", len(nodes) - 1},
+		"another one is the coordinator":  {tableOf(nodes[2], first, len(nodes)), nodes[2], "", second, len(nodes)},
+		"all are known, some are counted": {tableOf(first, "", 3, 4), first, "", "", len(nodes)},
+	} {
+		c := test.table.Coordinator("acme", test.self, never, now)
+		if c.Node != test.node || c.Relay.Node != test.relay || c.Known != test.known {
+			t.Errorf("%s: %+v, want %+v", name, c, test)
+		}
+	}
+	lost := tableOf(second, first, len(nodes))
+	lost.SelectHeartbeatPeers(Self{Node: second}, now)
+	if c := lost.Coordinator("acme", second, never, now.Add(time.Minute)); c.Relay.Node != "" && c.Known != len(nodes)-1 {
+		t.Errorf("%+v by the claims of peers that are silent", c)
+	}
+	if got := tableOf(first, "", 0).ActiveNodes(); got != len(nodes) {
+		t.Errorf("%d active nodes", got)
+	}
+}
--- a/process/fleet/status.go
+++ b/process/fleet/status.go
@@ -66,6 +66,8 @@
 	// AfterWholeSlack is the incarnation of the receiver if that of its process before had
 	// WholeSlack, as far as the sender knows, and zero otherwise or once it is of no use.
 	AfterWholeSlack uint64
+	// KnownNodes is Table.ActiveNodes of the sender. It is zero from nodes of earlier builds.
+	KnownNodes int
 }
 
 // ColdRemaining returns how much longer the target is cold, as of the status.
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -25,6 +25,7 @@
 LOSS=3 # seconds until they are started anew
 CLOCK_JUMP=2400 # milliseconds by which the time of day of some targets is off at their start
 COLD=3s # time for which a target is cold after its start, as configured
+FIRST_COORDINATORS=(2 0) # of the organisation with a quota, in fleets of up to six nodes
 SURGE_RATE=250 # requests per second to the service of a cold target whose node is killed
 
 declare -A pid_of
@@ -96,6 +97,20 @@
   revive_targets; sleep 1
 }
 surges=0
+turn_away() { # the store turns away the first coordinators, which are killed, while callers ask them for more than the quota
+  local i first='' first_services=''
+  for i in "${FIRST_COORDINATORS[@]}"; do
+    first+=",$(ip "$i"):7002" first_services+=",${SERVICES[$((i % 2))]}"
+    control POST "http://$(ip "$i"):7024/refuse"; end "node$i" KILL
+  done
+  sleep 0.5
+  for i in "${FIRST_COORDINATORS[@]}"; do wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i"; done
+  surges=$((surges + 1))
+  begin surge "$dir/told-surge-$surges" "$BIN/vtstandin" callers -nodes "${first:1}" -node-services "${first_services:1}" -services "$(IFS=,; echo "${SERVICES[*]}")" -rate 10 -prefix "s$seed-surge$surges"
+  sleep 6
+  end surge; wait "${pid_of[surge]}" 2>/dev/null
+  for i in "${FIRST_COORDINATORS[@]}"; do control POST "http://$(ip "$i"):7024/pass"; done
+}
 kill_beside_cold() { # I: kill the node beside a target that has just started, under a surge of requests to its service
   surges=$((surges + 1))
   end "target$1" KILL; wait "${pid_of[target$1]}" 2>/dev/null; start_target "$1"
@@ -136,6 +151,7 @@
       end "target$i"; sleep 0.5
       for ((i = 0; i < NODES; i++)); do end "node$i" KILL; done
       for ((i = 0; i < NODES; i++)); do wait "${pid_of[node$i]}" 2>/dev/null; start_node "$i"; done ;;
+    turn_away) turn_away ;;
     config) change $((version + RANDOM % 3 + 1)) ;;
     out) operator -out "z$((RANDOM % 3))" ;;
   esac
@@ -156,7 +172,7 @@
   store=$(ip 200):7100; store_control=$(ip 200):7101
   begin store "$dir/store" "$BIN/vtstandin" store -listen "$store" -control "$store_control"
   local i nodes='' node_services='' kinds
-  read -ra kinds <<<"${KINDS:-hop store store_all sever_all go_back kill_node kill_all kill_beside_cold stop_node pause_node reload crash_target leave_target leave_young leave_kill_all config out}"
+  read -ra kinds <<<"${KINDS:-hop store store_all sever_all go_back kill_node kill_all kill_beside_cold stop_node pause_node reload crash_target leave_target leave_young leave_kill_all turn_away config out}"
   for ((i = 0; i < NODES; i++)); do
     settings "$i" >"$dir/settings-$i.yaml"
     begin "hop$i" "$dir/proxies" "$BIN/vtstandin" proxy -listen "$(ip "$i"):7013" -to "$(ip "$i"):7003" -control "$(ip "$i"):7023"
