MIXED: an answer with a blank in the name of a header reached callers

Callers of the product's own interface got an answer with such a line passed on, or, with `Content-Length : 2`, with a body that was not the target's: all that followed until the end of the connection.

Cause: net/http lets a blank in a name through. connection/exchange refused such heads, the Transport of node/ did not.

Change: httpcheck.CheckHead refuses names that HTTP does not allow (golang.org/x/net/http/httpguts), in both fronts. The check of requests uses the same function, which moves there from connection/exchange.

Control bytes in names and values were refused by the parser already; rows of TestInvalidResponsesAreRejected hold that.

--- a/connection/exchange/conn.go
+++ b/connection/exchange/conn.go
@@ -285,12 +285,6 @@
 		if err != nil {
 			return nil, classifyParseError(err)
 		}
-		if HasInvalidName(response.Header) {
-			err := errors.Wrap(errMalformedResponse, "invalid header line")
-			c.stopReading(err)
-			_ = response.Body.Close() // the connection is not used any more
-			return nil, err
-		}
 		if err := httpcheck.CheckHead(response); err != nil {
 			c.stopReading(err)
 			_ = response.Body.Close() // the connection is not used any more
--- a/connection/exchange/exchange_test.go
+++ b/connection/exchange/exchange_test.go
@@ -114,11 +114,15 @@
 		"switch protocol": "HTTP/1.1 101 Switching Protocols\r\nX-Id: a\r\n\r\n",
 		"cut last chunk":  "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
 		// A status below 100 was skipped like that of an interim response, and what followed taken for the answer.
-		"status 000": "HTTP/1.1 000 Trouble\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n" + responseTo("a", "next"),
-		"status 099": "HTTP/1.1 099 Trouble\r\nX-Id: a\r\n\r\n" + responseTo("a", "next"),
-		"status +20": "HTTP/1.1 +20 Trouble\r\nX-Id: a\r\n\r\n" + responseTo("a", "next"),
-		"status 600": "HTTP/1.1 600 Trouble\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok",
-		"status 999": "HTTP/1.1 999 Trouble\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok",
+		"status 000":              "HTTP/1.1 000 Trouble\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n" + responseTo("a", "next"),
+		"status 099":              "HTTP/1.1 099 Trouble\r\nX-Id: a\r\n\r\n" + responseTo("a", "next"),
+		"status +20":              "HTTP/1.1 +20 Trouble\r\nX-Id: a\r\n\r\n" + responseTo("a", "next"),
+		"status 600":              "HTTP/1.1 600 Trouble\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok",
+		"blank in a name":         "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length : 2\r\n\r\nok and what follows",
+		"blank in another name":   "HTTP/1.1 200 OK\r\nX-Id: a\r\nX Noise: 1\r\nContent-Length: 2\r\n\r\nok",
+		"control byte in a name":  "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-\x01Noise: 1\r\nContent-Length: 2\r\n\r\nok",
+		"control byte in a value": "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Noise: \x01\r\nContent-Length: 2\r\n\r\nok",
+		"status 999":              "HTTP/1.1 999 Trouble\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newTestPool(startScriptedServer(t, text, ""))
--- a/connection/exchange/message.go
+++ b/connection/exchange/message.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -75,15 +74,3 @@
 func sendsZeroLength(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
-
-// HasInvalidName reports whether the name of a header contains a space, which net/http's
-// functions to read requests and responses let through. The header then has no effect, also
-// one about the length of the body, and others may read it differently.
-func HasInvalidName(header http.Header) bool {
-	for name := range header {
-		if strings.Contains(name, " ") {
-			return true
-		}
-	}
-	return false
-}
--- a/connection/httpcheck/head.go
+++ b/connection/httpcheck/head.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the highest status code of HTTP.
@@ -23,10 +24,24 @@
 		return errors.Wrapf(ErrInvalidHead, "status %03d", response.StatusCode)
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return errors.Wrap(ErrInvalidHead, "protocol switched unasked")
+	case HasInvalidName(response.Header):
+		return errors.Wrap(ErrInvalidHead, "invalid header line")
 	}
 	return nil
 }
 
+// HasInvalidName reports whether the name of a header holds a byte that no name may hold, as the
+// space that net/http's functions to read requests and responses let through. The header then has
+// no effect, also one about the length of the body, and others may read it differently.
+func HasInvalidName(header http.Header) bool {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // RoundTrip sends a request and checks the head of its response. Connected reports whether there was
 // a connection, so that the request may have been sent. After an invalid head the connection is
 // closed: what follows on it may belong to the same request.
--- a/connection/pipeline/framing.go
+++ b/connection/pipeline/framing.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strings"
 
-	"verbenatrestle/connection/exchange"
+	"verbenatrestle/connection/httpcheck"
 )
 
 // headRecorder keeps a copy of the bytes that are read while a head is parsed, since
@@ -70,7 +70,7 @@
 	if headerSize(parsed) > limits.MaxHeaderBytes {
 		return c.server.Reject(http.StatusRequestHeaderFieldsTooLarge, "headers are too long")
 	}
-	if exchange.HasInvalidName(parsed.Header) {
+	if httpcheck.HasInvalidName(parsed.Header) {
 		return c.server.Reject(http.StatusBadRequest, "malformed request: invalid header line")
 	}
 	if status := framingStatus(head, parsed); status != 0 {
--- a/node/invalidanswer_test.go
+++ b/node/invalidanswer_test.go
@@ -14,14 +14,17 @@
 	"verbenatrestle/request"
 )
 
-// invalidAnswers are what a server may send in place of an answer. %s is the request's id. The
-// response to a request with a long body is sent before that is read.
-var invalidAnswers = map[string]struct {
+// invalidAnswer is what a server may send in place of an answer. It does so before it reads the body
+// of the request.
+type invalidAnswer struct {
+	// text is what it sends, in which %s is the request's id.
 	text string
-	// reset is set if the server resets the connection after the text.
-	reset     bool
-	bodyBytes int
-}{
+	// reset is set if the server resets the connection after the text, and closes if it ends it.
+	reset, closes bool
+	bodyBytes     int
+}
+
+var invalidAnswers = map[string]invalidAnswer{
 	// A part of an answer without a length passed for the whole, since the write of the request's
 	// body was told of the reset.
 	"cut off by a reset": {text: "HTTP/1.1 200 OK\r\nVt-Request-Id: %s\r\n\r\npart of the body", reset: true, bodyBytes: 8 << 20},
@@ -32,13 +35,17 @@
 	"status 000 without a body, then a 200": {
 		text: "HTTP/1.1 000 Trouble\r\nVt-Request-Id: %s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 	},
-	"status 600":        {text: "HTTP/1.1 600 Trouble\r\nVt-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"},
-	"status +20":        {text: "HTTP/1.1 +20 Trouble\r\nVt-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"},
-	"protocol switched": {text: "HTTP/1.1 101 Switching Protocols\r\nVt-Request-Id: %s\r\n\r\nok"},
+	"status 600": {text: "HTTP/1.1 600 Trouble\r\nVt-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"},
+	"status +20": {text: "HTTP/1.1 +20 Trouble\r\nVt-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok"},
+	// A name with a blank was passed on, and a length under such a name ignored, so that all that followed became the body.
+	"blank in the name of a length": {text: "HTTP/1.1 200 OK\r\nVt-Request-Id: %s\r\nConnection: close\r\nContent-Length : 2\r\n\r\nok and what follows", closes: true},
+	"blank in a name":               {text: "HTTP/1.1 200 OK\r\nVt-Request-Id: %s\r\nX Noise: 1\r\nContent-Length: 2\r\n\r\nok"},
+	"control byte in a name":        {text: "HTTP/1.1 200 OK\r\nVt-Request-Id: %s\r\nX-\x01Noise: 1\r\nContent-Length: 2\r\n\r\nok"},
+	"protocol switched":             {text: "HTTP/1.1 101 Switching Protocols\r\nVt-Request-Id: %s\r\n\r\nok"},
 }
 
-// startInvalidServer starts a server that sends a text in answer to each request.
-func startInvalidServer(t *testing.T, text string, reset bool) (address string) {
+// startInvalidServer starts a server that sends an answer to each request.
+func startInvalidServer(t *testing.T, answer invalidAnswer) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -62,10 +69,12 @@
 						_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 						continue
 					}
-					_, _ = io.WriteString(c, strings.ReplaceAll(text, "%s", r.Header.Get(request.HeaderRequestID)))
-					if reset {
+					_, _ = io.WriteString(c, strings.ReplaceAll(answer.text, "%s", r.Header.Get(request.HeaderRequestID)))
+					if answer.reset {
 						time.Sleep(time.Millisecond)
 						_ = c.(*net.TCPConn).SetLinger(0)
+					}
+					if answer.reset || answer.closes {
 						return
 					}
 				}
@@ -83,7 +92,7 @@
 		if answer.reset {
 			attempts = 30 // which side is told of a reset first is a race
 		}
-		address := startInvalidServer(t, answer.text, answer.reset)
+		address := startInvalidServer(t, answer)
 		local, a := newServedTarget(t, nil)
 		a.Address = address
 		local.announce(a)
