Soak: targets that send no valid answer

Once a second a target answers a request of 1 MiB with a part of a body without a length, with status 000 or 099, or with a blank in the name of the length, and resets the connection. No caller may get an answer by it; a record of one with the target's signature, or with status 200, is a violation. The stand-in of a target can do so for requests that it is asked to.

--- a/cmd/vtstandin/soak.go
+++ b/cmd/vtstandin/soak.go
@@ -145,7 +145,7 @@
 }
 
 func runServer(ctx context.Context, options standin.TargetOptions, address string, deregisterFirst bool) error {
-	options.AnswersEarly = soak.AnswersEarly
+	options.AnswersEarly, options.BrokenAnswer = soak.AnswersEarly, soak.BrokenAnswer
 	target := standin.NewTarget(options)
 	var mu sync.Mutex
 	encoder := json.NewEncoder(os.Stdout)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -70,6 +70,7 @@
 	}}
 	group.Go(func() { c.sendBeyondQuota(ctx, client) })
 	group.Go(func() { c.sendEarlyAnswered(ctx, client) })
+	group.Go(func() { c.sendBrokenAnswered(ctx, client) })
 	group.Go(func() { c.sendAmbiguous(ctx) })
 	group.Go(func() { c.sendPipelined(ctx) })
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / c.RequestsPerSecond))
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -57,7 +57,7 @@
 			result.checkProbe(c, configSent, faultsEndMillis)
 			continue
 		}
-		if c.EndMillis-c.DurationMillis >= faultsEndMillis && !c.Poison && !c.Ambiguous && !c.BehindClose && c.alwaysAllowed() && !c.beyondQuota() {
+		if c.EndMillis-c.DurationMillis >= faultsEndMillis && !c.Poison && !c.Broken && !c.Ambiguous && !c.BehindClose && c.alwaysAllowed() && !c.beyondQuota() {
 			afterFaults++
 			if c.Status == c.expectedStatus() {
 				answeredAfterFaults++
@@ -125,6 +125,10 @@
 	if c.NonIdempotent && len(runs) > 1 {
 		r.addViolation("twice: %s ran %d times", c.ID, len(runs))
 	}
+	if c.Broken && (c.Signature != "" || c.Status == http.StatusOK) {
+		r.addViolation("mixed: %s got %d with %q, but no valid answer was sent", c.ID, c.Status, c.Body)
+		return
+	}
 	if c.BehindClose && len(runs) > 0 {
 		r.addViolation("lost: %s ran at %s behind a response that closed its connection", c.ID, runs[0].Instance)
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -56,6 +56,8 @@
 	Poison bool `json:"poison,omitempty"`
 	// Early means that targets answer the request before they read its body.
 	Early bool `json:"early,omitempty"`
+	// Broken means that targets send no valid answer to the request.
+	Broken bool `json:"broken,omitempty"`
 	// Ambiguous means that the request has no clear end. ExpectedBody is only the start of the
 	// response then.
 	Ambiguous bool `json:"ambiguous,omitempty"`
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -67,9 +67,12 @@
 		"late among many": {with(func(t *CallerRecord) {
 			t.Status, t.Config, t.RouteVersions, t.AckedMillis, t.EndMillis = 404, 3, 32, 1000, 3001
 		}), nil, "config"},
-		"lost":      {with(func(t *CallerRecord) { t.Status, t.BehindClose = 0, true }), []RunRecord{ran}, "lost"},
-		"not read":  {with(func(t *CallerRecord) { t.Status, t.BehindClose = 0, true }), nil, ""},
-		"no answer": {with(func(t *CallerRecord) { t.Status = 0 }), []RunRecord{ran}, ""},
+		"lost":                         {with(func(t *CallerRecord) { t.Status, t.BehindClose = 0, true }), []RunRecord{ran}, "lost"},
+		"not read":                     {with(func(t *CallerRecord) { t.Status, t.BehindClose = 0, true }), nil, ""},
+		"broken answer":                {with(func(t *CallerRecord) { t.Broken = true }), nil, "mixed"},
+		"broken answer, status 000":    {with(func(t *CallerRecord) { t.Broken, t.Status = true, 0 }), nil, "mixed"},
+		"broken answer, not passed on": {with(func(t *CallerRecord) { t.Broken, t.Status, t.Signature = true, 502, "" }), nil, ""},
+		"no answer":                    {with(func(t *CallerRecord) { t.Status = 0 }), []RunRecord{ran}, ""},
 	} {
 		callers, runs := recoveryRecords()
 		result := CheckRecords(append(callers, test.caller), append(runs, test.runs...), 1000)
