Soak: the stand-in ended a broken answer without a reset at times

The answer has no length and was to be cut off by a reset, but the listener of the soak's targets hid SetLinger, so the connection was closed. A close resets it only while bytes of the request are unread; otherwise it ends it, and the answer is whole.

Change: the connections of that listener have SetLinger.

TestBrokenAnswerEndsInAReset failed before ("after ... <nil>, want a reset").

--- a/internal/soak/early.go
+++ b/internal/soak/early.go
@@ -104,6 +104,15 @@
 	ended atomic.Bool
 }
 
+// SetLinger sets how a close ends the connection, as that of net.TCPConn.
+func (c *targetConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.New("no TCP connection")
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // refusalHeader is what follows the status in the response of an http.Server to a malformed
 // request. Those of handlers have a date.
 var refusalHeader = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n")
